--- /dev/null
+++ b/cmd/simhost/main.go
@@ -0,0 +1,92 @@
+// Command simhost hosts instances of the decision module behind the simulator's wire: batches of
+// events on standard input, one reply each on standard output.
+package main
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"os"
+
+	"mintdoor/decide"
+	"mintdoor/internal/simwire"
+)
+
+func main() {
+	if err := run(os.Stdin, os.Stdout); err != nil {
+		fmt.Fprintln(os.Stderr, "simhost:", err)
+		os.Exit(1)
+	}
+}
+
+// run answers batches until the input ends.
+func run(in io.Reader, out io.Writer) error {
+	var (
+		dec     = simwire.NewDecoder(in)
+		enc     simwire.Encoder
+		routers = map[uint32]*decide.Router{}
+		actions []decide.Action
+		rec     simwire.Record
+	)
+	for batch := 1; ; batch++ {
+		now, err := dec.Batch()
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return fmt.Errorf("batch %d: %w", batch, err)
+		}
+		enc.Reset()
+		for {
+			more, err := dec.Next(&rec)
+			if err != nil {
+				return fmt.Errorf("batch %d: %w", batch, err)
+			}
+			if !more {
+				break
+			}
+			switch rec.Kind {
+			case simwire.Start:
+				settings, fields, err := simwire.ParseSettings(rec.Settings)
+				if err != nil {
+					return fmt.Errorf("batch %d: instance %d: %w", batch, rec.Instance, err)
+				}
+				dec.SetFields(fields)
+				routers[rec.Instance] = decide.New(settings, rec.Seed, now)
+			case simwire.Stop:
+				delete(routers, rec.Instance)
+			case simwire.Happened:
+				r := routers[rec.Instance]
+				if r == nil {
+					continue
+				}
+				var failure string
+				actions, failure = handle(r, now, &rec.Event, actions[:0])
+				if failure != "" {
+					delete(routers, rec.Instance)
+					enc.Exception(rec.Instance, failure)
+					continue
+				}
+				for i := range actions {
+					if err := enc.Action(rec.Instance, &actions[i]); err != nil {
+						return fmt.Errorf("batch %d: instance %d: %w", batch, rec.Instance, err)
+					}
+				}
+			}
+		}
+		if err := enc.Flush(out); err != nil {
+			return fmt.Errorf("batch %d: %w", batch, err)
+		}
+	}
+}
+
+// handle runs the module on one event and turns a panic into a text.
+func handle(r *decide.Router, now decide.Time, ev *decide.Event, out []decide.Action) (
+	acts []decide.Action, failure string) {
+	defer func() {
+		if p := recover(); p != nil {
+			acts, failure = out[:0], fmt.Sprintf("decision module: %v", p)
+		}
+	}()
+	return r.Handle(now, ev, out), ""
+}
--- /dev/null
+++ b/decide/api.go
@@ -0,0 +1,221 @@
+// Package decide is mintdoor's decision module: one Router per router process, fed with events,
+// answering with actions. This file is its interface; decide.go holds every decision.
+package decide
+
+// Time is a point on the router's own clock, in nanoseconds.
+type Time int64
+
+// Duration is a span in nanoseconds.
+type Duration = Time
+
+// Second is one second as a Duration.
+const Second Duration = 1e9
+
+// ServerID names a server; it says nothing of its place, kind or age.
+type ServerID uint64
+
+// RequestID names one client's try. Ids are never used twice.
+type RequestID uint32
+
+// Role tells which stages a kind of server can do.
+type Role uint8
+
+// The roles of a kind of server.
+const (
+	Reader Role = 1 << iota
+	Writer
+	Both = Reader | Writer
+)
+
+// Repeat tells what a class allows after an attempt that may have run.
+type Repeat uint8
+
+// The kinds of classes, by what a repeat does.
+const (
+	Safe Repeat = iota
+	Keyed
+	Unsafe
+)
+
+// Scope is the group of servers that drops repeats of a keyed request.
+type Scope uint8
+
+// The scopes of a keyed class.
+const (
+	ScopeAll Scope = iota
+	ScopeZone
+	ScopeCell
+)
+
+// Class is what the settings say of one class of requests.
+type Class struct {
+	Aim       Duration // first token wanted within this time ...
+	AimPerK   Duration // ... plus this for each thousand prompt tokens
+	Deadline  Duration
+	TokenAim  Duration // wanted time between tokens
+	Worth     float64
+	LateWorth float64
+	Repeat    Repeat
+	Scope     Scope
+	Window    Duration // how long repeats of a keyed request are dropped
+}
+
+// Kind is what the settings say of one kind of machine.
+type Kind struct {
+	Role   Role
+	Memory float64 // tokens; 0 when not told
+}
+
+// Tenant is one customer's share of the traffic.
+type Tenant struct {
+	PerSecond float64 // requests a second within its share, over all routers; 0 when not told
+}
+
+// Settings is what a router is told at its start.
+type Settings struct {
+	Routers, Index int
+	Zone           int
+	Classes        []Class
+	Kinds          []Kind
+	Tenants        []Tenant
+	OverShareWorth float64 // worth of a request beyond its tenant's share, as a share of the usual
+
+	Probing       bool
+	MayCancel     bool
+	MayReserve    bool
+	Resume        bool
+	WritersRead   bool
+	AskMembership bool // the list is sent only to those that ask
+	MaxAttempts   int
+	MaxRetryAfter Duration // 0: clients take no advice
+	DialTimeout   Duration
+
+	AnswerGrace   Duration
+	AskWithin     Duration
+	DrainGrace    Duration
+	LetGoWithin   Duration
+	FallMultiple  float64
+	OverloadFor   Duration
+	StartCapacity float64
+	ColdFor       Duration
+
+	ProbeFee, WasteFee, LateFailFee, ZoneFee, CellFee float64
+}
+
+// Report is a server's own account of its load; a field it did not tell is negative.
+type Report struct {
+	MemoryShare float64 // share of memory held
+	WaitingK    float64 // thousands of prompt tokens to read or fetch
+	Latency     float64 // recent time to the end of a read or to the first token, in milliseconds
+}
+
+// Condition is what the list says of a server.
+type Condition uint8
+
+// The conditions in a list.
+const (
+	Gone Condition = iota
+	Ready
+	Draining
+)
+
+// Listing is one entry of the server list.
+type Listing struct {
+	Server           ServerID
+	Zone, Cell, Kind int
+	Condition        Condition
+	Weight           float64
+	Since            Time // last start; 0 when long ago
+}
+
+// Outcome tells how an attempt or a probe ended.
+type Outcome uint8
+
+// The outcomes.
+const (
+	Served Outcome = iota
+	ReadDone
+	Error
+	Full
+	TimedOut
+	ConnectFailed
+	Reset
+	Cancelled
+	Moot
+)
+
+// EventKind tells the fields of an Event that are meant.
+type EventKind uint8
+
+// The kinds of events.
+const (
+	ListChanged EventKind = iota // Servers: only the changes
+	ListFull                     // Servers: all that there are
+	ListCached                   // Servers: all, as this router last held them
+	ListFailed                   // an asking for the list failed
+	Arrived                      // a new request
+	FirstToken                   // the answer of an attempt has begun
+	Ended                        // an attempt has an outcome
+	ClientGone                   // the request is closed, nothing is owed
+	Timer                        // a WakeMe has come due
+	Probed                       // a probe has an outcome
+	PlaceAnswer                  // the answer to a place asked for ahead
+	PeerMessage                  // a message of another router
+)
+
+// Event is one thing that a router learns.
+type Event struct {
+	Kind    EventKind
+	Request RequestID
+	Server  ServerID
+	Attempt int
+	Outcome Outcome
+	Closed  bool     // Ended: the request has had its final answer
+	NoState bool     // Ended with Full: there was no state to fetch
+	Kept    float64  // Ended with ReadDone: prompt tokens found kept
+	Spent   Duration // since the attempt or probe was sent
+	Report  Report
+	Token   uint64
+	Held    bool // PlaceAnswer
+	Servers []Listing
+	Job     Job // Arrived
+}
+
+// Job is a request as it arrives.
+type Job struct {
+	Class, Tenant            int
+	Session, Text            uint64 // 0: none
+	Deadline                 Time
+	Hint                     Duration // rough length of the answer; 0 when not told
+	Prompt, Prefix, MaxOut   float64  // tokens
+	ClientRepeat, AfterBreak bool
+}
+
+// ActionKind tells the fields of an Action that are meant.
+type ActionKind uint8
+
+// The kinds of actions.
+const (
+	Send    ActionKind = iota // Request, Server, After (the time-out; 0: until the client gives up)
+	Cancel                    // Request, Attempt
+	Refuse                    // Request, After (stay away so long)
+	Fail                      // Request
+	Release                   // Request
+	Move                      // Request
+	WakeMe                    // After, Token
+	Probe                     // Server
+	Reserve                   // Request, Server
+	Watch                     // ask for the list and its changes
+	Note                      // Text
+)
+
+// Action is one thing that a router does.
+type Action struct {
+	Kind    ActionKind
+	Request RequestID
+	Server  ServerID
+	Attempt int
+	After   Duration
+	Token   uint64
+	Text    string
+}
--- /dev/null
+++ b/decide/decide.go
@@ -0,0 +1,797 @@
+package decide
+
+// The interface - settings, events, actions - is in api.go. Map of this file:
+//
+//	constants           every tuned value, with its reason
+//	state               Router, server, request
+//	Handle              the one event handler
+//	list                what discovery tells
+//	arrivals, steps     read, then write, then done: the ordinary path of a request
+//	reader choice       prefix home, spill, fewest waiting
+//	writer choice       fit, fewest own streams, lowest booked cost, smallest footprint
+//	guards              send and answer: the only ways to an attempt and to a final answer; they
+//	                    keep the rules 1 to 4; closing a request keeps rule 5
+//	cold servers        the budget of rule 4
+//	health              symptoms, letting go, the way back in
+//	probes              paced by their price
+//	small helpers
+
+import (
+	"math"
+	"sort"
+)
+
+// Tuned values.
+const (
+	// fitFraction of its memory may a writer hold, prompts booked since its report included. Below 1,
+	// since answers grow after their prompts are booked and other routers book unseen.
+	fitFraction = 0.9
+	// streamWeight is W of D + W*N. Own streams are compared first, so N never differs here.
+	streamWeight = 0.0
+	// spillShare of the least aim is how long the own tokens waiting at a reader may take to read
+	// before the next reader is tried: the rest is for the other routers' reads, the move, the writer.
+	spillShare = 0.15
+	// startPace is the time to read a token assumed before any read has been seen.
+	startPace = 100e3
+	// paceGain weighs a new read in the pace; low, as single reads are noisy.
+	paceGain = 0.05
+	// farCell and farZone are how many own streams more a writer of the reader's cell, or zone, may have
+	// before the state is moved out: a move crosses one shared link and has a price.
+	farCell = 1.0
+	farZone = 2.0
+	// readCap and writeCap are the share of the aim after which an attempt is given up for another
+	// server: half leaves one more try within the aim.
+	readCap  = 0.5
+	writeCap = 0.6
+	// capTypical keeps time-outs that many times over what is usual, so load alone causes none.
+	capTypical = 4.0
+	// quietTypical times the usual answer time without any sign while attempts wait makes a server
+	// suspect before a time-out; quietFloor, as a share of the least aim, keeps it above noise.
+	quietTypical = 4.0
+	quietFloor   = 0.25
+	// slowTimes the median answer time of its peers makes a server suspect, above slowFloor of the aim.
+	slowTimes = 3.0
+	slowFloor = 0.2
+	// slowSamples answers are needed to judge a server by its times.
+	slowSamples = 4
+	// answerGain weighs a new answer time; some five answers tell.
+	answerGain = 0.2
+	// failGain and failLimit: two failures in a row, or a third of recent attempts, make a server suspect.
+	failGain  = 0.2
+	failLimit = 0.3
+	// failAfterTrial leaves a server that came back one failure away from being suspect again.
+	failAfterTrial = 0.25
+	// firstBench and longestBench bound how long a suspect server is left out before a trial.
+	firstBench   = 1 * Second
+	longestBench = 8 * Second
+	// coldMargin of this router's share of a cold server's budget is used: routers are unequal and do
+	// not know of each other's sends.
+	coldMargin = 0.6
+	// coldChance sends are held back from the budget in proportion to its smallness (b*b/(b+coldChance)).
+	coldChance = 4.0
+	// rateSpan is the memory of the work rates that the cold budget is guessed from.
+	rateSpan = 5 * Second
+	// probePoints of the result may go into probes at the most (0.004 is 0.4 points in 100).
+	probePoints = 0.004
+	// probeFastest and probeSlowest bound the time between probes of one server.
+	probeFastest = 300 * Second / 1000
+	probeSlowest = 5 * Second
+	// keptEntries bounds what is remembered of a reader's kept texts.
+	keptEntries = 4096
+	// tickEvery is the time between looks at what no event brings up.
+	tickEvery = 100 * Second / 1000
+	// thousand prompt tokens are the unit of aims and of reported waits.
+	thousand = 1000.0
+)
+
+const tickToken = 1
+
+// server is what this router knows of one server.
+type server struct {
+	id         ServerID
+	zone, cell int
+	role       Role
+	memory     float64
+	ready      bool // rule 3: false from the moment that a list says draining or gone
+	since      Time // last start told
+
+	pending   int  // own attempts that wait for a first sign
+	quietFrom Time // with pending > 0: when the wait without any sign began
+	waiting   float64
+	streams   int
+	booked    float64 // prompt tokens of own streams
+	sent      float64 // prompt tokens sent since the last report
+	share     float64 // reported share of memory, negative while untold
+	kept      map[uint64]float64
+
+	answer  float64 // usual time of its answers, ns
+	answers int
+	failing float64
+	bench   Duration // 0: in good standing
+	until   Time     // with bench > 0: no trial before
+
+	coldNext Time // rule 4: nothing before
+	probing  bool
+	probeAt  Time
+}
+
+type stage uint8
+
+const (
+	reading stage = iota
+	writing
+	streaming
+)
+
+// request is one client's try, from its arrival to the end of all that is held for it.
+type request struct {
+	id        RequestID
+	job       Job
+	arrived   Time
+	key       uint64
+	stage     stage
+	attempts  int     // sends so far; the last has the number attempts-1
+	out       *server // where the attempt that is out is
+	tokens    float64 // booked at out
+	state     *server // the reader at which a state waits
+	mayHold   bool    // something may be held for it
+	mayRun    bool    // an attempt may have run
+	runAt     Time    // when the first that may have run was sent
+	runOn     *server
+	tried     []*server
+	closed    bool
+	startedAt Time
+}
+
+// Router decides for one router process.
+type Router struct {
+	set      *Settings
+	rng      uint64
+	now      Time
+	born     Time
+	servers  map[ServerID]*server
+	order    []*server // by id, so that no decision hangs on map order
+	requests map[RequestID]*request
+	out      []Action
+	pace     float64 // ns to read one token
+	leastAim Duration
+	rate     [4]float64 // decayed own work by role
+	rateAt   [4]Time
+	arrivals float64 // decayed own arrivals
+	arriveAt Time
+	work     []classWork
+}
+
+// classWork is the mean work of a class, as far as seen.
+type classWork struct{ prompt, answer float64 }
+
+// New returns a router that knows nothing but its settings.
+func New(set *Settings, seed uint64, now Time) *Router {
+	r := &Router{set: set, rng: seed, now: now, born: now, pace: startPace,
+		servers: map[ServerID]*server{}, requests: map[RequestID]*request{}}
+	r.leastAim = math.MaxInt64
+	for _, c := range set.Classes {
+		r.leastAim = min(r.leastAim, c.Aim)
+		r.work = append(r.work, classWork{prompt: thousand, answer: float64(c.Aim)})
+	}
+	return r
+}
+
+// Handle takes one event and appends the actions that answer it.
+func (r *Router) Handle(now Time, ev *Event, out []Action) []Action {
+	r.now, r.out = now, out
+	switch ev.Kind {
+	case ListChanged, ListFull, ListCached:
+		r.list(ev)
+	case ListFailed:
+		r.act(Action{Kind: Watch})
+	case Arrived:
+		r.arrive(ev)
+	case FirstToken:
+		r.first(ev)
+	case Ended:
+		r.ended(ev)
+	case ClientGone:
+		r.clientGone(ev.Request)
+	case Probed:
+		r.probed(ev)
+	case Timer:
+		r.tick()
+	}
+	out, r.out = r.out, nil
+	return out
+}
+
+func (r *Router) act(a Action) { r.out = append(r.out, a) }
+
+// list takes in what discovery tells.
+func (r *Router) list(ev *Event) {
+	if ev.Kind == ListCached {
+		r.act(Action{Kind: WakeMe, After: tickEvery, Token: tickToken})
+		if r.set.AskMembership {
+			r.act(Action{Kind: Watch})
+		}
+	}
+	if ev.Kind != ListChanged {
+		for _, s := range r.order {
+			s.ready = false
+		}
+	}
+	for _, l := range ev.Servers {
+		s := r.servers[l.Server]
+		if s == nil {
+			s = &server{id: l.Server, share: -1, kept: map[uint64]float64{}, since: l.Since}
+			r.servers[l.Server] = s
+			r.order = append(r.order, s)
+			sort.Slice(r.order, func(i, j int) bool { return r.order[i].id < r.order[j].id })
+			s.coldNext = r.now + r.coldGap(s, Reader|Writer, 1)
+		}
+		s.zone, s.cell, s.ready = l.Zone, l.Cell, l.Condition == Ready
+		if l.Kind < len(r.set.Kinds) {
+			s.role, s.memory = r.set.Kinds[l.Kind].Role, r.set.Kinds[l.Kind].Memory
+		}
+		if l.Since != s.since {
+			// Restarted: empty, cold, and what it was blamed for is past.
+			s.since, s.share, s.sent, s.kept = l.Since, -1, 0, map[uint64]float64{}
+			s.bench, s.failing, s.answers = 0, 0, 0
+			s.coldNext = r.now + Time(r.random()*float64(r.coldGap(s, s.role, 1)))
+		}
+	}
+}
+
+// arrive takes a new request and sends it to a reader.
+func (r *Router) arrive(ev *Event) {
+	q := &request{id: ev.Request, job: ev.Job, arrived: r.now, key: ev.Job.Text}
+	if q.key == 0 {
+		q.key = ev.Job.Session
+	}
+	r.requests[q.id] = q
+	r.arrivals = r.arrivals*decay(r.now-r.arriveAt, rateSpan) + 1
+	r.arriveAt = r.now
+	w := &r.work[q.job.Class]
+	w.prompt += answerGain * (q.job.Prompt - w.prompt)
+	r.read(q)
+}
+
+// read sends a request to a reader, or gives it up.
+func (r *Router) read(q *request) {
+	if s := r.pickReader(q); s == nil || !r.send(q, s, reading, r.capFor(q, Reader, readCap)) {
+		r.giveUp(q)
+	}
+}
+
+// write sends a request whose state waits to a writer, or gives it up.
+func (r *Router) write(q *request) {
+	if s := r.pickWriter(q); s == nil || !r.send(q, s, writing, r.capFor(q, Writer, writeCap)) {
+		r.giveUp(q)
+	}
+}
+
+// first: the answer has begun. It now belongs to the client, and all else that was held is let go.
+func (r *Router) first(ev *Event) {
+	s := r.servers[ev.Server]
+	q := r.requests[ev.Request]
+	if s == nil || q == nil || q.out != s || q.stage != writing {
+		return
+	}
+	r.sign(s)
+	s.pending--
+	r.good(s, float64(ev.Spent))
+	q.stage, q.mayHold, q.state, q.startedAt = streaming, false, nil, r.now
+}
+
+// ended: an attempt has its outcome.
+func (r *Router) ended(ev *Event) {
+	s := r.servers[ev.Server]
+	if s != nil {
+		r.report(s, ev.Report)
+	}
+	q := r.requests[ev.Request]
+	if q == nil || s == nil || q.out != s || ev.Attempt != q.attempts-1 {
+		return
+	}
+	r.unbook(q, s, ev)
+	was := q.stage
+	q.out = nil
+	if was == reading && ev.Outcome == ReadDone {
+		q.state, q.mayHold = s, true
+		s.keep(q.key, q.job.Prefix)
+		s.keep(q.job.Session, q.job.Prompt)
+	}
+	if was != reading && !provenUnrun(ev.Outcome) && !q.mayRun {
+		q.mayRun, q.runOn, q.runAt = true, s, r.now-ev.Spent
+	}
+	if ev.Closed || q.closed {
+		r.close(q)
+		return
+	}
+	q.tried = append(q.tried, s)
+	switch {
+	case ev.Outcome == ReadDone:
+		r.write(q)
+	case ev.Outcome == Moot || !r.worthAnother(q):
+		r.giveUp(q)
+	case was == reading || ev.NoState:
+		q.state = nil
+		r.read(q)
+	case q.state == nil || !q.state.ready && ev.Outcome != Full:
+		r.read(q)
+	default:
+		r.write(q)
+	}
+}
+
+// unbook undoes what an attempt had booked and draws the lesson of its outcome.
+func (r *Router) unbook(q *request, s *server, ev *Event) {
+	if q.stage == reading {
+		s.waiting = max(0, s.waiting-q.tokens)
+	} else {
+		s.streams--
+		s.booked = max(0, s.booked-q.tokens)
+	}
+	if q.stage == streaming {
+		if ev.Outcome == Served {
+			w := &r.work[q.job.Class]
+			w.answer += answerGain * (float64(r.now-q.startedAt) - w.answer)
+		}
+	} else {
+		s.pending--
+	}
+	switch ev.Outcome {
+	case Served:
+		r.sign(s)
+	case ReadDone:
+		r.sign(s)
+		r.good(s, float64(ev.Spent))
+		if q.tokens > 0 {
+			r.pace += paceGain * (float64(ev.Spent)/q.tokens - r.pace)
+		}
+	case Full:
+		r.sign(s)
+	case Error, Reset, TimedOut, ConnectFailed:
+		r.bad(s, ev.Outcome == ConnectFailed)
+	}
+}
+
+// clientGone: nothing is owed any more; what is out is called off, what is held is let go.
+func (r *Router) clientGone(id RequestID) {
+	q := r.requests[id]
+	if q == nil {
+		return
+	}
+	q.closed = true
+	if q.out == nil {
+		r.close(q)
+	} else if q.stage != streaming && r.set.MayCancel {
+		r.act(Action{Kind: Cancel, Request: q.id, Attempt: q.attempts - 1})
+	}
+}
+
+// worthAnother tells whether a further attempt can still be answered before the client gives up.
+func (r *Router) worthAnother(q *request) bool {
+	usual := r.usual(Writer, nil)
+	return q.job.Deadline-r.now > Time(usual)
+}
+
+// --- reader choice ---
+
+// pickReader walks the key's readers from its home on and takes the first whose own waiting tokens are
+// under the spill bound; if all are past it, the one with the fewest.
+func (r *Router) pickReader(q *request) *server {
+	bound := spillShare * float64(r.leastAim) / r.pace
+	for _, strict := range []bool{true, false} {
+		var home, fewest *server
+		var best uint64
+		for _, s := range r.order {
+			if s.role&Reader == 0 || !r.candidate(q, s, reading, strict) {
+				continue
+			}
+			if h := mix(q.key ^ mix(uint64(s.id))); s.waiting <= bound && (home == nil || h > best) {
+				home, best = s, h
+			}
+			if fewest == nil || s.waiting < fewest.waiting {
+				fewest = s
+			}
+		}
+		if home != nil {
+			return home
+		}
+		if fewest != nil {
+			return fewest
+		}
+	}
+	return nil
+}
+
+// fresh guesses how many tokens of a prompt a reader has not kept.
+func (s *server) fresh(q *request) float64 {
+	return max(1, q.job.Prompt-max(s.kept[q.key], s.kept[q.job.Session]))
+}
+
+func (s *server) keep(key uint64, tokens float64) {
+	if key == 0 || tokens <= 0 {
+		return
+	}
+	if len(s.kept) >= keptEntries {
+		s.kept = map[uint64]float64{}
+	}
+	s.kept[key] = tokens
+}
+
+// --- writer choice ---
+
+// pickWriter: among the writers that fit the fewest own streams, then the lowest D + W*N, ties at
+// random; when none fits, the smallest resulting footprint.
+func (r *Router) pickWriter(q *request) *server {
+	for _, strict := range []bool{true, false} {
+		var pick, fallback *server
+		var streams, cost, least float64
+		ties := 0.0
+		for _, s := range r.order {
+			if s.role&Writer == 0 || !r.candidate(q, s, writing, strict) {
+				continue
+			}
+			print := r.footprint(s, q.job.Prompt)
+			if fallback == nil || print < least {
+				fallback, least = s, print
+			}
+			if s.share >= 0 && print > fitFraction {
+				continue
+			}
+			n, c := float64(s.streams)+r.far(q, s), s.booked+streamWeight*float64(s.streams)
+			switch {
+			case pick == nil || n < streams || n == streams && c < cost:
+				pick, streams, cost, ties = s, n, c, 1
+			case n == streams && c == cost:
+				ties++
+				if r.random()*ties < 1 {
+					pick = s
+				}
+			}
+		}
+		if pick != nil {
+			return pick
+		}
+		if fallback != nil {
+			return fallback
+		}
+	}
+	return nil
+}
+
+// footprint is the share of a writer's memory that would be held with tokens more: its last report and
+// what this router has sent since.
+func (r *Router) footprint(s *server, tokens float64) float64 {
+	if s.memory <= 0 {
+		return max(0, s.share)
+	}
+	return max(0, s.share) + (s.sent+tokens)/s.memory
+}
+
+// far is the handicap, in streams, of a writer to which the state must cross a link.
+func (r *Router) far(q *request, s *server) float64 {
+	switch {
+	case q.state == nil || q.state.cell == s.cell:
+		return 0
+	case q.state.zone == s.zone:
+		return farCell
+	}
+	return farZone
+}
+
+// --- guards ---
+
+// candidate tells whether a server may be picked; strict leaves out suspects and those that this
+// request has already tried.
+func (r *Router) candidate(q *request, s *server, st stage, strict bool) bool {
+	if !s.ready || r.now < s.coldNext && r.cold(s) {
+		return false
+	}
+	if !strict {
+		return true
+	}
+	for _, t := range q.tried {
+		if t == s && st == writing || t == s && q.state != s && st == reading {
+			return false
+		}
+	}
+	once := st == writing && r.set.Classes[q.job.Class].Repeat == Unsafe
+	return !r.suspect(s, once)
+}
+
+// send is the only way to an attempt. It keeps the rules 1 (nothing after the end, one attempt out at
+// a time), 2 (no repeat of what may have run), 3 (no draining server) and 4 (the cold budget).
+func (r *Router) send(q *request, s *server, st stage, limit Duration) bool {
+	if q.closed || q.out != nil || !s.ready || q.attempts >= r.set.MaxAttempts || !r.mayRepeat(q, s, st) {
+		return false
+	}
+	if r.cold(s) {
+		if r.now < s.coldNext {
+			return false
+		}
+		s.coldNext = r.now + r.coldGap(s, s.role, r.workOf(q, st)/r.meanWork(st))
+	}
+	if st == reading && q.mayHold {
+		r.act(Action{Kind: Release, Request: q.id})
+		q.mayHold = false
+	}
+	q.stage, q.out = st, s
+	q.attempts++
+	if s.pending == 0 {
+		s.quietFrom = r.now
+	}
+	s.pending++
+	if st == reading {
+		q.tokens = s.fresh(q)
+		s.waiting += q.tokens
+	} else {
+		q.tokens = q.job.Prompt
+		s.streams++
+		s.booked += q.tokens
+		s.sent += q.tokens
+	}
+	if !r.cold(s) {
+		r.addRate(st, r.workOf(q, st))
+	}
+	r.act(Action{Kind: Send, Request: q.id, Server: s.id, After: limit})
+	return true
+}
+
+// mayRepeat is rule 2 for a send. A reader's work is no effect.
+func (r *Router) mayRepeat(q *request, s *server, st stage) bool {
+	c := &r.set.Classes[q.job.Class]
+	if !q.mayRun || c.Repeat == Safe {
+		return true
+	}
+	if c.Repeat == Unsafe || r.now-q.runAt >= c.Window {
+		return false
+	}
+	if st == reading {
+		return true
+	}
+	return c.Scope == ScopeAll || c.Scope == ScopeZone && q.runOn.zone == s.zone ||
+		c.Scope == ScopeCell && q.runOn.cell == s.cell
+}
+
+// giveUp is the only way to a final answer of this router's own: refused where rule 2 lets it promise
+// that a retry is harmless, else failed. Rule 1: at once, and once.
+func (r *Router) giveUp(q *request) {
+	if q.closed {
+		return
+	}
+	c := &r.set.Classes[q.job.Class]
+	if !q.mayRun || c.Repeat == Safe || c.Repeat == Keyed && c.Scope == ScopeAll {
+		r.act(Action{Kind: Refuse, Request: q.id, After: r.set.MaxRetryAfter})
+	} else {
+		r.act(Action{Kind: Fail, Request: q.id})
+	}
+	r.close(q)
+}
+
+// close forgets a request. Rule 5: what may still be held for it is let go here, whatever ended it.
+func (r *Router) close(q *request) {
+	q.closed = true
+	if q.mayHold {
+		r.act(Action{Kind: Release, Request: q.id})
+		q.mayHold = false
+	}
+	if q.out == nil {
+		delete(r.requests, q.id)
+	}
+}
+
+// provenUnrun tells whether an outcome at a writer proves that the attempt never ran.
+func provenUnrun(o Outcome) bool {
+	return o == Full || o == ConnectFailed || o == Moot || o == ReadDone
+}
+
+// --- cold servers ---
+
+// cold tells whether a server may still be warming up.
+func (r *Router) cold(s *server) bool { return s.since > 0 && r.now-s.since < r.set.ColdFor }
+
+// coldGap is the time to the next send to a cold server after one of the given work (1 is the mean).
+// The budget of a window is guessed from the work that a warm server of the role gets from this router;
+// a router that has not seen traffic yet sends nothing.
+func (r *Router) coldGap(s *server, role Role, work float64) Duration {
+	per := r.perServer(role)
+	window := float64(r.set.OverloadFor) / float64(Second)
+	budget := r.set.FallMultiple * r.set.StartCapacity * per * window * float64(r.set.Routers)
+	budget = coldMargin * budget * budget / (budget + coldChance) / float64(r.set.Routers)
+	gap := work * window / max(budget, 1e-9)
+	return Duration(min(gap, float64(r.set.ColdFor)/float64(Second)) * float64(Second))
+}
+
+// perServer is the rate of sends of this router to one warm server of a role, in mean requests a second.
+func (r *Router) perServer(role Role) float64 {
+	st := writing
+	if role&Writer == 0 {
+		st = reading
+	}
+	n := 0.0
+	for _, s := range r.order {
+		if s.ready && !r.cold(s) && s.role&role != 0 {
+			n++
+		}
+	}
+	sum := r.rate[st] * decay(r.now-r.rateAt[st], rateSpan) / r.meanWork(st)
+	return sum / (float64(rateSpan) / float64(Second)) / max(n, 1)
+}
+
+func (r *Router) addRate(st stage, work float64) {
+	r.rate[st] = r.rate[st]*decay(r.now-r.rateAt[st], rateSpan) + work
+	r.rateAt[st] = r.now
+}
+
+// workOf is the mean work of a request's class at a stage.
+func (r *Router) workOf(q *request, st stage) float64 {
+	if st == reading {
+		return r.work[q.job.Class].prompt
+	}
+	return r.work[q.job.Class].answer
+}
+
+// meanWork is the mean work over the classes.
+func (r *Router) meanWork(st stage) float64 {
+	sum := 0.0
+	for _, w := range r.work {
+		if st == reading {
+			sum += w.prompt
+		} else {
+			sum += w.answer
+		}
+	}
+	return max(sum/float64(len(r.work)), 1)
+}
+
+// --- health ---
+
+// suspect tells whether a server is left out: it keeps silent while attempts wait, or it is benched
+// and its trial is not due. What can't be repeated (once) is no trial.
+func (r *Router) suspect(s *server, once bool) bool {
+	if s.pending > 0 && float64(r.now-s.quietFrom) > r.quietLimit(s) {
+		return true
+	}
+	return s.bench > 0 && (once || r.now < s.until || s.pending > 0)
+}
+
+func (r *Router) quietLimit(s *server) float64 {
+	return max(quietTypical*r.usual(s.role, s), quietFloor*float64(r.leastAim))
+}
+
+// usual is the median answer time of the servers of a role, without one of them.
+func (r *Router) usual(role Role, but *server) float64 {
+	var times []float64
+	for _, s := range r.order {
+		if s != but && s.role&role != 0 && s.ready && s.answers >= slowSamples && s.bench == 0 {
+			times = append(times, s.answer)
+		}
+	}
+	if len(times) == 0 {
+		return 0
+	}
+	sort.Float64s(times)
+	return times[len(times)/2]
+}
+
+// sign: a server has been heard.
+func (r *Router) sign(s *server) { s.quietFrom = r.now }
+
+// good: a server has answered in so much time. A benched one is back if that is no longer slow.
+func (r *Router) good(s *server, spent float64) {
+	s.failing *= 1 - failGain
+	usual := r.usual(s.role, s)
+	if s.answers == 0 || s.bench > 0 {
+		s.answer = spent
+	} else {
+		s.answer += answerGain * (spent - s.answer)
+	}
+	s.answers++
+	slow := usual > 0 && s.answer > slowTimes*usual && s.answer > slowFloor*float64(r.leastAim)
+	switch {
+	case slow && s.answers >= slowSamples:
+		r.benchIt(s)
+	case s.bench > 0:
+		s.bench, s.failing = 0, failAfterTrial
+	}
+}
+
+// bad: an attempt at a server has failed.
+func (r *Router) bad(s *server, dead bool) {
+	s.failing += failGain * (1 - s.failing)
+	if dead || s.failing > failLimit || s.bench > 0 {
+		r.benchIt(s)
+	}
+}
+
+// benchIt leaves a server out for a while, longer each time that its trial fails.
+func (r *Router) benchIt(s *server) {
+	if s.bench > 0 && r.now < s.until {
+		return
+	}
+	s.bench = min(max(2*s.bench, firstBench), longestBench)
+	s.until = r.now + s.bench
+}
+
+// --- probes ---
+
+// tick looks after what no event brings up.
+func (r *Router) tick() {
+	r.act(Action{Kind: WakeMe, After: tickEvery, Token: tickToken})
+	if !r.set.Probing {
+		return
+	}
+	every := r.probeEvery()
+	for _, s := range r.order {
+		if s.ready && !s.probing && r.now >= s.probeAt {
+			s.probing, s.probeAt = true, r.now+every
+			r.act(Action{Kind: Probe, Server: s.id})
+		}
+	}
+}
+
+// probeEvery is how often a server can be probed for the points that probes may cost.
+func (r *Router) probeEvery() Duration {
+	arrivals := r.arrivals * decay(r.now-r.arriveAt, rateSpan) / (float64(rateSpan) / float64(Second))
+	if arrivals <= 0 {
+		return probeSlowest
+	}
+	every := r.set.ProbeFee * float64(len(r.order)) / (probePoints * arrivals)
+	return Duration(min(max(every*float64(Second), float64(probeFastest)), float64(probeSlowest)))
+}
+
+func (r *Router) probed(ev *Event) {
+	s := r.servers[ev.Server]
+	if s == nil {
+		return
+	}
+	s.probing = false
+	if ev.Outcome == Served {
+		r.report(s, ev.Report)
+	} else {
+		r.bad(s, ev.Outcome == ConnectFailed)
+	}
+}
+
+// report takes in a load report. One that repeats the last share is the old one told again.
+func (r *Router) report(s *server, rep Report) {
+	if rep.MemoryShare >= 0 && rep.MemoryShare != s.share {
+		s.share, s.sent = rep.MemoryShare, 0
+	}
+}
+
+// --- small helpers ---
+
+// aim is the time within which a request's first token is wanted.
+func (r *Router) aim(q *request) Duration {
+	c := &r.set.Classes[q.job.Class]
+	return c.Aim + Duration(float64(c.AimPerK)*q.job.Prompt/thousand)
+}
+
+// capFor is an attempt's time-out: a share of the aim, but well over what is usual. What can't be
+// repeated waits as long as its client does.
+func (r *Router) capFor(q *request, role Role, share float64) Duration {
+	left := q.job.Deadline - r.now
+	if role == Writer && r.set.Classes[q.job.Class].Repeat == Unsafe {
+		return max(left, 1)
+	}
+	limit := Duration(max(share*float64(r.aim(q)), capTypical*r.usual(role, nil)))
+	return max(min(limit, left), 1)
+}
+
+// decay is what is left of a weight after a time.
+func decay(t, span Duration) float64 { return math.Exp(-float64(t) / float64(span)) }
+
+// mix scrambles a number (the finisher of splitmix64).
+func mix(x uint64) uint64 {
+	x += 0x9e3779b97f4a7c15
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
+// random is the next number in [0, 1) of this router's own source.
+func (r *Router) random() float64 {
+	r.rng += 0x9e3779b97f4a7c15
+	return float64(mix(r.rng)>>11) / (1 << 53)
+}
--- /dev/null
+++ b/internal/simwire/settings.go
@@ -0,0 +1,193 @@
+package simwire
+
+import (
+	"fmt"
+	"math"
+	"strconv"
+	"strings"
+
+	"mintdoor/decide"
+)
+
+// pairs holds the settings by path and remembers the first thing wrong with one.
+type pairs struct {
+	values map[string]string
+	err    error
+}
+
+// ParseSettings reads the path=value lines of a BORN. Unknown keys are passed over; a key that the
+// module needs and that is missing or malformed is an error that names it. The second result is the
+// names of the load report's values.
+func ParseSettings(text string) (*decide.Settings, []string, error) {
+	p := &pairs{values: map[string]string{}}
+	for i, line := range strings.Split(text, "\n") {
+		if strings.TrimSpace(line) == "" {
+			continue
+		}
+		path, value, ok := strings.Cut(line, "=")
+		if !ok {
+			return nil, nil, fmt.Errorf("settings line %d: %q has no '='", i+1, line)
+		}
+		p.values[path] = strings.TrimSuffix(value, "\r")
+	}
+	s := &decide.Settings{
+		Routers: int(p.atLeast("instances", 1)), Index: int(p.atLeast("index", 0)),
+		Zone: int(p.optional("zone", 0)), OverShareWorth: p.optional("overShareWorth", 1),
+		Probing: p.flag("permissions.probing"), MayCancel: p.flag("permissions.mayCancel"),
+		MayReserve: p.flag("familyInfo.mayReserve"), Resume: p.flag("familyInfo.resume"),
+		WritersRead: p.flag("familyInfo.localRead"), AskMembership: p.values["membershipMode"] == "ask",
+		MaxAttempts: int(p.atLeast("permissions.maxAttempts", 1)),
+		DialTimeout: p.time("permissions.dialTimeoutNs"),
+		AnswerGrace: p.time("obligations.graceToAnswerNs"), DrainGrace: p.time("obligations.drainGraceNs"),
+		AskWithin:     decide.Duration(p.optional("obligations.askWithinNs", 0)),
+		LetGoWithin:   p.time("familyInfo.letGoByNs"),
+		FallMultiple:  p.atLeast("obligations.fallMultiple", 0),
+		OverloadFor:   p.time("obligations.overloadForNs"),
+		StartCapacity: p.atLeast("obligations.startCapacity", 0), ColdFor: p.time("obligations.coldNs"),
+		ProbeFee: p.optional("fees.probe", 0), WasteFee: p.optional("fees.waste", 0),
+		LateFailFee: p.optional("fees.lateFail", 0), ZoneFee: p.optional("fees.crossZone", 0),
+		CellFee: p.optional("familyInfo.crossCellPrice", 0),
+	}
+	if p.flag("permissions.retryAfter") {
+		s.MaxRetryAfter = p.time("permissions.maxRetryAfterNs")
+	}
+	p.classes(s)
+	p.kinds(s)
+	for i := range int(p.optional("projects.count", 0)) {
+		s.Tenants = append(s.Tenants, decide.Tenant{
+			PerSecond: p.optional(fmt.Sprintf("projects.%d.allowancePerS", i), 0),
+		})
+	}
+	if p.err != nil {
+		return nil, nil, fmt.Errorf("settings: %w", p.err)
+	}
+	return s, p.list("feedback.names"), nil
+}
+
+func (p *pairs) classes(s *decide.Settings) {
+	n := int(p.atLeast("requestClasses.count", 1))
+	perK, token := p.numbers("familyInfo.aimUsPer1000PromptTokens"), p.numbers("familyInfo.tokenAimNs")
+	for i := 0; i < n && p.err == nil; i++ {
+		at := func(key string) string { return fmt.Sprintf("requestClasses.%d.%s", i, key) }
+		c := decide.Class{
+			Aim: p.time(at("aimNs")), Deadline: p.time(at("deadlineNs")),
+			Worth: p.optional(at("value"), 1), LateWorth: p.optional(at("lateWorth"), 0),
+			Window: decide.Duration(p.optional(at("windowNs"), 0)),
+		}
+		if i < len(perK) {
+			c.AimPerK = decide.Duration(perK[i] * 1000)
+		}
+		if i < len(token) {
+			c.TokenAim = decide.Duration(token[i])
+		}
+		switch v := p.values[at("repeat")]; v {
+		case "safe":
+		case "keyed":
+			c.Repeat = decide.Keyed
+		case "unsafe":
+			c.Repeat = decide.Unsafe
+		default:
+			p.fail(at("repeat"), v)
+		}
+		switch v := p.values[at("keyScope")]; v {
+		case "all":
+		case "zone":
+			c.Scope = decide.ScopeZone
+		case "cell":
+			c.Scope = decide.ScopeCell
+		default:
+			if c.Repeat == decide.Keyed {
+				p.fail(at("keyScope"), v)
+			}
+		}
+		s.Classes = append(s.Classes, c)
+	}
+}
+
+func (p *pairs) kinds(s *decide.Settings) {
+	memory := p.numbers("familyInfo.tokensByKind")
+	roles := p.list("familyInfo.kindRole")
+	if len(roles) == 0 {
+		p.fail("familyInfo.kindRole", "")
+	}
+	for i, role := range roles {
+		var k decide.Kind
+		switch role {
+		case "read":
+			k.Role = decide.Reader
+		case "write":
+			k.Role = decide.Writer
+		case "both":
+			k.Role = decide.Both
+		default:
+			p.fail("familyInfo.kindRole", role)
+		}
+		if i < len(memory) {
+			k.Memory = memory[i]
+		}
+		s.Kinds = append(s.Kinds, k)
+	}
+}
+
+func (p *pairs) fail(path, value string) {
+	if p.err != nil {
+		return
+	}
+	if _, ok := p.values[path]; !ok {
+		p.err = fmt.Errorf("%s is missing", path)
+		return
+	}
+	p.err = fmt.Errorf("%s has the malformed value %q", path, value)
+}
+
+// optional returns a number, or def where the key is absent.
+func (p *pairs) optional(path string, def float64) float64 {
+	v, ok := p.values[path]
+	if !ok {
+		return def
+	}
+	f, err := strconv.ParseFloat(v, 64)
+	if err != nil || math.IsNaN(f) || math.IsInf(f, 0) {
+		p.fail(path, v)
+	}
+	return f
+}
+
+// atLeast returns a number that must be there and be no less than low.
+func (p *pairs) atLeast(path string, low float64) float64 {
+	f := p.optional(path, math.Inf(-1))
+	if f < low {
+		p.fail(path, p.values[path])
+	}
+	return f
+}
+
+func (p *pairs) time(path string) decide.Duration { return decide.Duration(p.atLeast(path, 0)) }
+
+func (p *pairs) flag(path string) bool {
+	v, ok := p.values[path]
+	if ok && v != "true" && v != "false" {
+		p.fail(path, v)
+	}
+	return v == "true"
+}
+
+func (p *pairs) list(path string) []string {
+	if p.values[path] == "" {
+		return nil
+	}
+	return strings.Split(p.values[path], ",")
+}
+
+func (p *pairs) numbers(path string) []float64 {
+	var out []float64
+	for _, v := range p.list(path) {
+		f, err := strconv.ParseFloat(v, 64)
+		if err != nil || math.IsNaN(f) || math.IsInf(f, 0) {
+			p.fail(path, p.values[path])
+			return nil
+		}
+		out = append(out, f)
+	}
+	return out
+}
