--- a/decide/decide.go
+++ b/decide/decide.go
@@ -28,13 +28,18 @@
 	fitFraction = 0.9
 	// streamWeight is W of D + W*N. Own streams are compared first, so N never differs here.
 	streamWeight = 0.0
-	// spillShare of the least aim is how long the own tokens waiting at a reader may take to read
-	// before the next reader is tried: the rest is for the other routers' reads, the move, the writer.
-	spillShare = 0.15
+	// spillShare of the least aim is how long the tokens waiting at a reader may take to read before the
+	// next reader is tried, taking the other routers to have as many there as this one.
+	spillShare = 0.4
 	// startPace is the time to read a token assumed before any read has been seen.
 	startPace = 100e3
-	// paceGain weighs a new read in the pace; low, as single reads are noisy.
-	paceGain = 0.05
+	// paceDown and paceUp weigh a new read in the pace: quick down and slow up, so that it follows the
+	// fast reads, which met no queue. A mean would grow with load, shrink the spill bound, and so
+	// scatter the texts just when reading them anew is dearest.
+	paceDown = 0.2
+	paceUp   = 0.01
+	// paceTokens is the least that a read is taken for; under it the fixed time of a read prevails.
+	paceTokens = 256.0
 	// farCell and farZone are how many own streams more a writer of the reader's cell, or zone, may have
 	// before the state is moved out: a move crosses one shared link and has a price.
 	farCell = 1.0
@@ -343,12 +348,14 @@
 	case ReadDone:
 		r.sign(s)
 		r.good(s, float64(ev.Spent))
-		if q.tokens > 0 {
-			r.pace += paceGain * (float64(ev.Spent)/q.tokens - r.pace)
-		}
+		r.learnPace(float64(ev.Spent) / max(q.job.Prompt-ev.Kept, paceTokens))
 	case Full:
 		r.sign(s)
 	case Error, Reset, TimedOut, ConnectFailed:
+		if ev.Outcome == TimedOut && q.stage != streaming {
+			// At least so long: under load that all share, the usual time grows and time-outs with it.
+			s.learn(float64(ev.Spent))
+		}
 		r.bad(s, ev.Outcome == ConnectFailed)
 	}
 }
@@ -378,7 +385,7 @@
 // pickReader walks the key's readers from its home on and takes the first whose own waiting tokens are
 // under the spill bound; if all are past it, the one with the fewest.
 func (r *Router) pickReader(q *request) *server {
-	bound := spillShare * float64(r.leastAim) / r.pace
+	bound := spillShare * float64(r.leastAim) / r.pace / float64(r.set.Routers)
 	for _, strict := range []bool{true, false} {
 		var home, fewest *server
 		var best uint64
@@ -403,6 +410,15 @@
 	return nil
 }
 
+// learnPace takes in the time that a read took for each token.
+func (r *Router) learnPace(sample float64) {
+	gain := paceUp
+	if sample < r.pace {
+		gain = paceDown
+	}
+	r.pace += gain * (sample - r.pace)
+}
+
 // fresh guesses how many tokens of a prompt a reader has not kept.
 func (s *server) fresh(q *request) float64 {
 	return max(1, q.job.Prompt-max(s.kept[q.key], s.kept[q.job.Session]))
@@ -663,7 +679,7 @@
 func (r *Router) usual(role Role, but *server) float64 {
 	var times []float64
 	for _, s := range r.order {
-		if s != but && s.role&role != 0 && s.ready && s.answers >= slowSamples && s.bench == 0 {
+		if s != but && s.role&role != 0 && s.ready && s.answers >= slowSamples {
 			times = append(times, s.answer)
 		}
 	}
@@ -677,20 +693,27 @@
 // sign: a server has been heard.
 func (r *Router) sign(s *server) { s.quietFrom = r.now }
 
+// learn takes in an answer time.
+func (s *server) learn(spent float64) {
+	if s.answers == 0 {
+		s.answer = spent
+	}
+	s.answer += answerGain * (spent - s.answer)
+	s.answers++
+}
+
 // good: a server has answered in so much time. A benched one is back if that is no longer slow.
 func (r *Router) good(s *server, spent float64) {
 	s.failing *= 1 - failGain
 	usual := r.usual(s.role, s)
-	if s.answers == 0 || s.bench > 0 {
+	if s.bench > 0 {
 		s.answer = spent
-	} else {
-		s.answer += answerGain * (spent - s.answer)
 	}
-	s.answers++
+	s.learn(spent)
 	slow := usual > 0 && s.answer > slowTimes*usual && s.answer > slowFloor*float64(r.leastAim)
 	switch {
 	case slow && s.answers >= slowSamples:
-		r.benchIt(s)
+		r.benchIt(s, false)
 	case s.bench > 0:
 		s.bench, s.failing = 0, failAfterTrial
 	}
@@ -700,19 +723,41 @@
 func (r *Router) bad(s *server, dead bool) {
 	s.failing += failGain * (1 - s.failing)
 	if dead || s.failing > failLimit || s.bench > 0 {
-		r.benchIt(s)
+		r.benchIt(s, dead)
 	}
 }
 
 // benchIt leaves a server out for a while, longer each time that its trial fails.
-func (r *Router) benchIt(s *server) {
+func (r *Router) benchIt(s *server, dead bool) {
 	if s.bench > 0 && r.now < s.until {
 		return
 	}
+	if !dead && s.bench == 0 && 2*(r.benched(s.role)+1) > r.inRole(s.role) {
+		return // when half of a pool looks bad it is load, and leaving servers out makes it worse
+	}
 	s.bench = min(max(2*s.bench, firstBench), longestBench)
 	s.until = r.now + s.bench
 }
 
+// inRole counts the ready servers of a role, benched those of them that are benched.
+func (r *Router) inRole(role Role) (n int) {
+	for _, s := range r.order {
+		if s.ready && s.role&role != 0 {
+			n++
+		}
+	}
+	return n
+}
+
+func (r *Router) benched(role Role) (n int) {
+	for _, s := range r.order {
+		if s.ready && s.role&role != 0 && s.bench > 0 {
+			n++
+		}
+	}
+	return n
+}
+
 // --- probes ---
 
 // tick looks after what no event brings up.
