--- a/decide/decide.go
+++ b/decide/decide.go
@@ -54,9 +54,10 @@
 	// suspect before a time-out; quietFloor, as a share of the least aim, keeps it above noise.
 	quietTypical = 4.0
 	quietFloor   = 0.25
-	// slowTimes the median answer time of its peers makes a server suspect, above slowFloor of the aim.
+	// slowTimes the median answer time of its peers, each over what was expected, makes it suspect.
 	slowTimes = 3.0
-	slowFloor = 0.2
+	// writeExpected is the unit of first-token times; readers' are measured by the tokens to read.
+	writeExpected = 50e6
 	// slowSamples answers are needed to judge a server by its times.
 	slowSamples = 4
 	// answerGain weighs a new answer time; some five answers tell.
@@ -109,7 +110,7 @@
 	share     float64 // reported share of memory, negative while untold
 	kept      map[uint64]float64
 
-	answer  float64 // usual time of its answers, ns
+	answer  float64 // usual time of its answers, over what was expected
 	answers int
 	failing float64
 	bench   Duration // 0: in good standing
@@ -138,6 +139,7 @@
 	attempts  int     // sends so far; the last has the number attempts-1
 	out       *server // where the attempt that is out is
 	tokens    float64 // booked at out
+	expect    float64 // how long the attempt that is out should take, ns
 	state     *server // the reader at which a state waits
 	mayHold   bool    // something may be held for it
 	mayRun    bool    // an attempt may have run
@@ -260,14 +262,14 @@
 
 // read sends a request to a reader, or gives it up.
 func (r *Router) read(q *request) {
-	if s := r.pickReader(q); s == nil || !r.send(q, s, reading, r.capFor(q, Reader, readCap)) {
+	if s := r.pickReader(q); s == nil || !r.send(q, s, reading) {
 		r.giveUp(q)
 	}
 }
 
 // write sends a request whose state waits to a writer, or gives it up.
 func (r *Router) write(q *request) {
-	if s := r.pickWriter(q); s == nil || !r.send(q, s, writing, r.capFor(q, Writer, writeCap)) {
+	if s := r.pickWriter(q); s == nil || !r.send(q, s, writing) {
 		r.giveUp(q)
 	}
 }
@@ -281,7 +283,7 @@
 	}
 	r.sign(s)
 	s.pending--
-	r.good(s, float64(ev.Spent))
+	r.good(s, float64(ev.Spent)/q.expect)
 	q.stage, q.mayHold, q.state, q.startedAt = streaming, false, nil, r.now
 }
 
@@ -347,14 +349,14 @@
 		r.sign(s)
 	case ReadDone:
 		r.sign(s)
-		r.good(s, float64(ev.Spent))
+		r.good(s, float64(ev.Spent)/q.expect)
 		r.learnPace(float64(ev.Spent) / max(q.job.Prompt-ev.Kept, paceTokens))
 	case Full:
 		r.sign(s)
 	case Error, Reset, TimedOut, ConnectFailed:
 		if ev.Outcome == TimedOut && q.stage != streaming {
 			// At least so long: under load that all share, the usual time grows and time-outs with it.
-			s.learn(float64(ev.Spent))
+			s.learn(float64(ev.Spent) / q.expect)
 		}
 		r.bad(s, ev.Outcome == ConnectFailed)
 	}
@@ -376,8 +378,7 @@
 
 // worthAnother tells whether a further attempt can still be answered before the client gives up.
 func (r *Router) worthAnother(q *request) bool {
-	usual := r.usual(Writer, nil)
-	return q.job.Deadline-r.now > Time(usual)
+	return float64(q.job.Deadline-r.now) > r.usual(Writer, nil)*writeExpected
 }
 
 // --- reader choice ---
@@ -517,7 +518,7 @@
 
 // send is the only way to an attempt. It keeps the rules 1 (nothing after the end, one attempt out at
 // a time), 2 (no repeat of what may have run), 3 (no draining server) and 4 (the cold budget).
-func (r *Router) send(q *request, s *server, st stage, limit Duration) bool {
+func (r *Router) send(q *request, s *server, st stage) bool {
 	if q.closed || q.out != nil || !s.ready || q.attempts >= r.set.MaxAttempts || !r.mayRepeat(q, s, st) {
 		return false
 	}
@@ -540,16 +541,18 @@
 	if st == reading {
 		q.tokens = s.fresh(q)
 		s.waiting += q.tokens
+		q.expect = r.readTime(s)
 	} else {
 		q.tokens = q.job.Prompt
 		s.streams++
 		s.booked += q.tokens
 		s.sent += q.tokens
+		q.expect = writeExpected
 	}
 	if !r.cold(s) {
 		r.addRate(st, r.workOf(q, st))
 	}
-	r.act(Action{Kind: Send, Request: q.id, Server: s.id, After: limit})
+	r.act(Action{Kind: Send, Request: q.id, Server: s.id, After: r.capFor(q)})
 	return true
 }
 
@@ -672,7 +675,11 @@
 }
 
 func (r *Router) quietLimit(s *server) float64 {
-	return max(quietTypical*r.usual(s.role, s), quietFloor*float64(r.leastAim))
+	expect := writeExpected
+	if s.role == Reader {
+		expect = r.readTime(s)
+	}
+	return max(quietTypical*r.usual(s.role, s)*expect, quietFloor*float64(r.leastAim))
 }
 
 // usual is the median answer time of the servers of a role, without one of them.
@@ -710,7 +717,7 @@
 		s.answer = spent
 	}
 	s.learn(spent)
-	slow := usual > 0 && s.answer > slowTimes*usual && s.answer > slowFloor*float64(r.leastAim)
+	slow := usual > 0 && s.answer > slowTimes*usual
 	switch {
 	case slow && s.answers >= slowSamples:
 		r.benchIt(s, false)
@@ -813,14 +820,21 @@
 	return c.Aim + Duration(float64(c.AimPerK)*q.job.Prompt/thousand)
 }
 
-// capFor is an attempt's time-out: a share of the aim, but well over what is usual. What can't be
-// repeated waits as long as its client does.
-func (r *Router) capFor(q *request, role Role, share float64) Duration {
+// readTime is how long the own tokens that wait at a reader should take to read.
+func (r *Router) readTime(s *server) float64 { return (s.waiting + paceTokens) * r.pace }
+
+// capFor is an attempt's time-out: a share of the aim, but well over what is usual for the work. What
+// can't be repeated waits as long as its client does.
+func (r *Router) capFor(q *request) Duration {
 	left := q.job.Deadline - r.now
-	if role == Writer && r.set.Classes[q.job.Class].Repeat == Unsafe {
-		return max(left, 1)
+	share, role := readCap, Reader
+	if q.stage == writing {
+		share, role = writeCap, Writer
+		if r.set.Classes[q.job.Class].Repeat == Unsafe {
+			return max(left, 1)
+		}
 	}
-	limit := Duration(max(share*float64(r.aim(q)), capTypical*r.usual(role, nil)))
+	limit := Duration(max(share*float64(r.aim(q)), capTypical*r.usual(role, nil)*q.expect))
 	return max(min(limit, left), 1)
 }
 
