--- a/decide/decide.go
+++ b/decide/decide.go
@@ -75,6 +75,8 @@
 	coldMargin = 0.6
 	// coldChance sends are held back from the budget in proportion to its smallness (b*b/(b+coldChance)).
 	coldChance = 4.0
+	// mixGain weighs a send in the mean work of all: rare heavy classes must count, some 20 sends do.
+	mixGain = 0.05
 	// rateSpan is the memory of the work rates that the cold budget is guessed from.
 	rateSpan = 5 * Second
 	// probePoints of the result may go into probes at the most (0.004 is 0.4 points in 100).
@@ -162,9 +164,10 @@
 	out      []Action
 	pace     float64 // ns to read one token
 	leastAim Duration
-	rate     [4]float64 // decayed own work by role
-	rateAt   [4]Time
-	arrivals float64 // decayed own arrivals
+	rate     [3]float64 // decayed own work by stage
+	rateAt   [3]Time
+	meanWork [3]float64 // of one send at a stage
+	arrivals float64    // decayed own arrivals
 	arriveAt Time
 	work     []classWork
 }
@@ -526,7 +529,7 @@
 		if r.now < s.coldNext {
 			return false
 		}
-		s.coldNext = r.now + r.coldGap(s, s.role, r.workOf(q, st)/r.meanWork(st))
+		s.coldNext = r.now + r.coldGap(s, s.role, r.workOf(q, st)/max(r.meanWork[st], 1))
 	}
 	if st == reading && q.mayHold {
 		r.act(Action{Kind: Release, Request: q.id})
@@ -633,11 +636,15 @@
 			n++
 		}
 	}
-	sum := r.rate[st] * decay(r.now-r.rateAt[st], rateSpan) / r.meanWork(st)
+	sum := r.rate[st] * decay(r.now-r.rateAt[st], rateSpan) / max(r.meanWork[st], 1)
 	return sum / (float64(rateSpan) / float64(Second)) / max(n, 1)
 }
 
 func (r *Router) addRate(st stage, work float64) {
+	if r.meanWork[st] == 0 {
+		r.meanWork[st] = work
+	}
+	r.meanWork[st] += mixGain * (work - r.meanWork[st])
 	r.rate[st] = r.rate[st]*decay(r.now-r.rateAt[st], rateSpan) + work
 	r.rateAt[st] = r.now
 }
@@ -650,19 +657,6 @@
 	return r.work[q.job.Class].answer
 }
 
-// meanWork is the mean work over the classes.
-func (r *Router) meanWork(st stage) float64 {
-	sum := 0.0
-	for _, w := range r.work {
-		if st == reading {
-			sum += w.prompt
-		} else {
-			sum += w.answer
-		}
-	}
-	return max(sum/float64(len(r.work)), 1)
-}
-
 // --- health ---
 
 // suspect tells whether a server is left out: it keeps silent while attempts wait, or it is benched
--- /dev/null
+++ b/decide/decide_test.go
@@ -0,0 +1,507 @@
+package decide
+
+import (
+	"reflect"
+	"testing"
+)
+
+// world drives one router by hand and records what it does.
+type world struct {
+	t   *testing.T
+	r   *Router
+	now Time
+	ids RequestID
+}
+
+const ms = Second / 1000
+
+// settings has one class of each kind of repeat, a reader kind 0 and a writer kind 1.
+func settings() *Settings {
+	class := func(rep Repeat, scope Scope) Class {
+		return Class{Aim: Second, AimPerK: 40 * ms, Deadline: 4 * Second, TokenAim: 60 * ms, Worth: 1,
+			Repeat: rep, Scope: scope, Window: 2 * Second}
+	}
+	return &Settings{
+		Routers: 2, MayCancel: true, MaxAttempts: 6, MaxRetryAfter: Second / 2,
+		Classes: []Class{class(Safe, 0), class(Unsafe, 0), class(Keyed, ScopeAll),
+			class(Keyed, ScopeZone), class(Keyed, ScopeCell)},
+		Kinds:         []Kind{{Role: Reader, Memory: 200e3}, {Role: Writer, Memory: 150e3}},
+		DialTimeout:   250 * ms,
+		AnswerGrace:   16 * ms,
+		DrainGrace:    Second,
+		LetGoWithin:   300 * ms,
+		FallMultiple:  4,
+		OverloadFor:   2 * Second,
+		StartCapacity: 0.25,
+		ColdFor:       10 * Second,
+	}
+}
+
+const (
+	safe = iota
+	unsafeClass
+	keyedAll
+	keyedZone
+	keyedCell
+)
+
+// fleet is two readers (1, 2) and three writers (11 and 12 in zone and cell 0, 13 in zone and cell 1).
+func fleet() []Listing {
+	return []Listing{
+		{Server: 1, Kind: 0, Condition: Ready}, {Server: 2, Kind: 0, Condition: Ready},
+		{Server: 11, Kind: 1, Condition: Ready}, {Server: 12, Kind: 1, Condition: Ready},
+		{Server: 13, Kind: 1, Condition: Ready, Zone: 1, Cell: 1},
+	}
+}
+
+func newWorld(t *testing.T, set *Settings, list []Listing) *world {
+	w := &world{t: t, now: 1000 * Second}
+	w.r = New(set, 7, w.now)
+	w.do(Event{Kind: ListCached, Servers: list})
+	return w
+}
+
+func (w *world) do(ev Event) []Action {
+	if ev.Report == (Report{}) {
+		ev.Report = Report{MemoryShare: -1, WaitingK: -1, Latency: -1}
+	}
+	return w.r.Handle(w.now, &ev, nil)
+}
+
+func (w *world) arrive(class int) (RequestID, []Action) {
+	w.ids++
+	return w.ids, w.do(Event{Kind: Arrived, Request: w.ids, Job: Job{Class: class, Session: uint64(w.ids),
+		Text: 99, Prompt: 1000, Prefix: 800, MaxOut: 100, Deadline: w.now + 4*Second}})
+}
+
+func (w *world) end(id RequestID, attempt int, s ServerID, o Outcome) []Action {
+	w.now += 50 * ms
+	return w.do(Event{Kind: Ended, Request: id, Attempt: attempt, Server: s, Outcome: o, Spent: 50 * ms})
+}
+
+// read brings a request to its first send to a writer, and returns that writer.
+func (w *world) read(class int) (RequestID, ServerID) {
+	w.t.Helper()
+	id, acts := w.arrive(class)
+	reader := w.sent(acts)
+	return id, w.sent(w.end(id, 0, reader, ReadDone))
+}
+
+func (w *world) sent(acts []Action) ServerID {
+	w.t.Helper()
+	a := find(acts, Send)
+	if a == nil {
+		w.t.Fatalf("no send in %+v", acts)
+	}
+	return a.Server
+}
+
+func find(acts []Action, k ActionKind) *Action {
+	for i := range acts {
+		if acts[i].Kind == k {
+			return &acts[i]
+		}
+	}
+	return nil
+}
+
+func kinds(acts []Action) []ActionKind {
+	out := []ActionKind{}
+	for _, a := range acts {
+		out = append(out, a.Kind)
+	}
+	return out
+}
+
+// Rules 1 and 2: after each outcome at a writer a request is sent on, refused or failed as its class
+// allows, and never dropped.
+func TestOutcomesAtAWriter(t *testing.T) {
+	tests := []struct {
+		name    string
+		class   int
+		outcome Outcome
+		late    Duration // time passed before the outcome
+		want    ActionKind
+	}{
+		{"safe error", safe, Error, 0, Send},
+		{"safe reset", safe, Reset, 0, Send},
+		{"safe timeout", safe, TimedOut, 0, Send},
+		{"safe full", safe, Full, 0, Send},
+		{"safe cancelled", safe, Cancelled, 0, Send},
+		{"safe connect", safe, ConnectFailed, 0, Send},
+		{"safe moot", safe, Moot, 0, Refuse},
+		{"safe at the deadline", safe, TimedOut, 4 * Second, Refuse},
+		{"unsafe full", unsafeClass, Full, 0, Send},
+		{"unsafe connect", unsafeClass, ConnectFailed, 0, Send},
+		{"unsafe moot", unsafeClass, Moot, 0, Refuse},
+		{"unsafe error", unsafeClass, Error, 0, Fail},
+		{"unsafe reset", unsafeClass, Reset, 0, Fail},
+		{"unsafe timeout", unsafeClass, TimedOut, 0, Fail},
+		{"unsafe cancelled", unsafeClass, Cancelled, 0, Fail},
+		{"unsafe at the deadline", unsafeClass, TimedOut, 4 * Second, Fail},
+		{"keyed error", keyedAll, Error, 0, Send},
+		{"keyed past its window", keyedAll, TimedOut, 2 * Second, Refuse},
+		{"keyed by zone past its window", keyedZone, TimedOut, 2 * Second, Fail},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			w := newWorld(t, settings(), fleet())
+			id, writer := w.read(tt.class)
+			w.now += tt.late
+			ev := Event{Kind: Ended, Request: id, Attempt: 1, Server: writer, Outcome: tt.outcome,
+				Spent: tt.late + ms}
+			acts := w.do(ev)
+			if find(acts, tt.want) == nil {
+				t.Fatalf("got %v, want a %v", acts, tt.want)
+			}
+			answers := 0
+			for _, a := range acts {
+				if a.Kind == Refuse || a.Kind == Fail {
+					answers++
+				}
+			}
+			if sent := find(acts, Send) != nil; sent == (answers > 0) || answers > 1 {
+				t.Errorf("want either one send or one answer, got %v", kinds(acts))
+			}
+			if answers == 1 && find(acts, Release) == nil {
+				t.Errorf("the state was not let go: %v", kinds(acts))
+			}
+		})
+	}
+}
+
+// Rule 2: a keyed request that may have run stays in the group that drops its repeats.
+func TestKeyedStaysInItsGroup(t *testing.T) {
+	for _, class := range []int{keyedZone, keyedCell} {
+		w := newWorld(t, settings(), fleet())
+		id, writer := w.read(class)
+		if writer == 13 {
+			t.Fatal("the nearer writers were to be preferred")
+		}
+		second := w.sent(w.end(id, 1, writer, Error))
+		if second != 11 && second != 12 || second == writer {
+			t.Errorf("class %d: second attempt went from %d to %d", class, writer, second)
+		}
+	}
+}
+
+// Rule 2: reading is no effect, so an unsafe request may be read again after any outcome.
+func TestUnsafeMayBeReadAgain(t *testing.T) {
+	for _, o := range []Outcome{Error, Reset, TimedOut, ConnectFailed, Full, Cancelled} {
+		w := newWorld(t, settings(), fleet())
+		id, acts := w.arrive(unsafeClass)
+		first := w.sent(acts)
+		if second := w.sent(w.end(id, 0, first, o)); second == first {
+			t.Errorf("outcome %d: read again at the same server", o)
+		}
+	}
+}
+
+// A state that is gone is read again.
+func TestLostStateIsReadAgain(t *testing.T) {
+	w := newWorld(t, settings(), fleet())
+	id, writer := w.read(unsafeClass)
+	acts := w.do(Event{Kind: Ended, Request: id, Attempt: 1, Server: writer, Outcome: Full, NoState: true})
+	if s := w.sent(acts); s != 1 && s != 2 {
+		t.Errorf("sent to %d, want a reader", s)
+	}
+}
+
+// Rule 5: whatever ends a request, what it holds is let go.
+func TestNothingStaysHeld(t *testing.T) {
+	t.Run("client leaves while reading, the read ends after all", func(t *testing.T) {
+		w := newWorld(t, settings(), fleet())
+		id, acts := w.arrive(safe)
+		reader := w.sent(acts)
+		if acts := w.do(Event{Kind: ClientGone, Request: id}); find(acts, Cancel) == nil {
+			t.Errorf("the read was not called off: %v", kinds(acts))
+		}
+		acts = w.do(Event{Kind: Ended, Request: id, Server: reader, Outcome: ReadDone, Closed: true})
+		if find(acts, Release) == nil || find(acts, Send) != nil {
+			t.Errorf("want only a release, got %v", kinds(acts))
+		}
+	})
+	t.Run("client leaves while a writer has it", func(t *testing.T) {
+		w := newWorld(t, settings(), fleet())
+		id, writer := w.read(safe)
+		w.do(Event{Kind: ClientGone, Request: id})
+		acts := w.do(Event{Kind: Ended, Request: id, Attempt: 1, Server: writer, Outcome: Cancelled, Closed: true})
+		if find(acts, Release) == nil {
+			t.Errorf("the state was not let go: %v", kinds(acts))
+		}
+		if len(w.r.requests) != 0 {
+			t.Errorf("%d requests remembered", len(w.r.requests))
+		}
+	})
+	t.Run("no writer is left", func(t *testing.T) {
+		w := newWorld(t, settings(), fleet())
+		id, acts := w.arrive(safe)
+		reader := w.sent(acts)
+		w.do(Event{Kind: ListChanged, Servers: []Listing{{Server: 11, Kind: 1}, {Server: 12, Kind: 1},
+			{Server: 13, Kind: 1, Condition: Draining}}})
+		acts = w.end(id, 0, reader, ReadDone)
+		if find(acts, Refuse) == nil || find(acts, Release) == nil {
+			t.Errorf("want refusal and release, got %v", kinds(acts))
+		}
+	})
+}
+
+// Rule 3: nothing goes to a server from the moment that a list names it draining or gone.
+func TestDrainsAreKept(t *testing.T) {
+	for _, kind := range []EventKind{ListChanged, ListFull, ListCached} {
+		w := newWorld(t, settings(), fleet())
+		list := fleet()
+		list[0].Condition, list[2].Condition = Draining, Draining
+		if kind == ListFull {
+			list = append(list[1:2], list[3:]...) // absent from a full list: removed
+		}
+		w.do(Event{Kind: kind, Servers: list})
+		for range 20 {
+			id, acts := w.arrive(safe)
+			reader := w.sent(acts)
+			writer := w.sent(w.end(id, 0, reader, ReadDone))
+			if reader == 1 || writer == 11 {
+				t.Fatalf("list kind %d: sent to reader %d, writer %d", kind, reader, writer)
+			}
+		}
+	}
+}
+
+// Rule 4: a cold server gets no more than this router's share of its budget in any window.
+func TestColdServersAreSpared(t *testing.T) {
+	w := newWorld(t, settings(), fleet())
+	for range 300 { // warm traffic to learn the rates from: 20 a second
+		w.serve()
+	}
+	w.do(Event{Kind: ListChanged, Servers: []Listing{{Server: 12, Kind: 1, Condition: Ready, Since: w.now}}})
+	var cold []Time
+	warm := 0
+	for range 190 {
+		if w.serve() == 12 {
+			cold = append(cold, w.now)
+		} else {
+			warm++
+		}
+	}
+	if len(cold) == 0 {
+		t.Error("a cold server must get some work")
+	}
+	// Ten a second reach each of two warm writers from this router. The budget of a window is four
+	// times a quarter of a warm server's work; this router's share of it is what a warm one gets from it.
+	for i := range cold {
+		n := 0
+		for j := i; j < len(cold) && cold[j]-cold[i] < 2*Second; j++ {
+			n++
+		}
+		if n > 20 {
+			t.Fatalf("%d sends to a cold server within a window", n)
+		}
+	}
+	if warm == 0 {
+		t.Error("no work for warm servers")
+	}
+}
+
+// serve takes one request to its end in 50 ms and returns its writer.
+func (w *world) serve() ServerID {
+	w.t.Helper()
+	id, acts := w.arrive(safe)
+	reader := w.sent(acts)
+	w.now += 25 * ms
+	acts = w.do(Event{Kind: Ended, Request: id, Server: reader, Outcome: ReadDone, Spent: 25 * ms, Kept: 800})
+	writer := w.sent(acts)
+	w.now += 25 * ms
+	w.do(Event{Kind: FirstToken, Request: id, Attempt: 1, Server: writer, Spent: 20 * ms})
+	w.do(Event{Kind: Ended, Request: id, Attempt: 1, Server: writer, Outcome: Served, Spent: 25 * ms, Closed: true})
+	return writer
+}
+
+// After any ending the books are empty again.
+func TestBooksAreUndone(t *testing.T) {
+	for _, o := range []Outcome{Served, Error, Full, TimedOut, ConnectFailed, Reset, Cancelled, Moot} {
+		w := newWorld(t, settings(), fleet())
+		id, writer := w.read(unsafeClass)
+		w.do(Event{Kind: Ended, Request: id, Attempt: 1, Server: writer, Outcome: o, Closed: true})
+		for _, s := range w.r.order {
+			if s.streams != 0 || s.booked != 0 || s.pending != 0 || s.waiting != 0 {
+				t.Errorf("outcome %d left %+v", o, s)
+			}
+		}
+		if len(w.r.requests) != 0 {
+			t.Errorf("outcome %d: %d requests remembered", o, len(w.r.requests))
+		}
+	}
+}
+
+// Events about what is already over, or was never known, change nothing.
+func TestOddEventsAreIgnored(t *testing.T) {
+	w := newWorld(t, settings(), fleet())
+	w.serve()
+	for _, ev := range []Event{
+		{Kind: Ended, Request: 1, Attempt: 0, Server: 1, Outcome: ReadDone, Closed: true},
+		{Kind: Ended, Request: 77, Server: 1, Outcome: Served}, {Kind: Ended, Request: 77, Server: 500},
+		{Kind: FirstToken, Request: 1, Attempt: 1, Server: 11}, {Kind: FirstToken, Request: 77},
+		{Kind: ClientGone, Request: 1}, {Kind: ClientGone, Request: 77}, {Kind: Timer, Token: 12345},
+		{Kind: Probed, Server: 500}, {Kind: PlaceAnswer, Request: 77}, {Kind: PeerMessage},
+	} {
+		for _, a := range w.do(ev) {
+			if a.Kind != WakeMe {
+				t.Errorf("%+v led to %+v", ev, a)
+			}
+		}
+	}
+}
+
+// Without servers, or with one role missing, requests are refused at once.
+func TestNoServers(t *testing.T) {
+	for name, list := range map[string][]Listing{"none": nil, "writers only": fleet()[2:]} {
+		w := newWorld(t, settings(), list)
+		if _, acts := w.arrive(safe); find(acts, Refuse) == nil {
+			t.Errorf("%s: got %v", name, kinds(acts))
+		}
+	}
+}
+
+// The design's writer choice: fit, then fewest own streams, then lowest booked cost, else the smallest
+// resulting footprint.
+func TestWriterChoice(t *testing.T) {
+	type state struct {
+		streams       int
+		booked, share float64
+	}
+	tests := []struct {
+		name string
+		at   [3]state // servers 11, 12 and 13; 13 lies in another zone
+		want ServerID
+	}{
+		{"fewest streams", [3]state{{5, 0, 0.1}, {3, 9000, 0.1}, {9, 0, 0.1}}, 12},
+		{"lowest cost among equals", [3]state{{3, 9000, 0.1}, {3, 1000, 0.1}, {9, 0, 0.1}}, 12},
+		{"full ones are passed over", [3]state{{9, 9000, 0.5}, {0, 0, 0.97}, {0, 0, 0.97}}, 11},
+		{"none fits: smallest footprint", [3]state{{0, 0, 0.99}, {50, 9000, 0.95}, {0, 0, 0.97}}, 12},
+		{"no reports: filter off", [3]state{{4, 0, -1}, {2, 0, -1}, {9, 0, -1}}, 12},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			w := newWorld(t, settings(), fleet())
+			id, acts := w.arrive(safe)
+			for i, st := range tt.at {
+				s := w.r.servers[ServerID(11+i)]
+				s.streams, s.booked, s.share = st.streams, st.booked, st.share
+			}
+			if got := w.sent(w.end(id, 0, w.sent(acts), ReadDone)); got != tt.want {
+				t.Errorf("picked %d, want %d", got, tt.want)
+			}
+		})
+	}
+}
+
+// Requests of one shared text are read at one server by every router, until too much waits there.
+func TestReaderChoice(t *testing.T) {
+	list := []Listing{}
+	for i := range 8 {
+		list = append(list, Listing{Server: ServerID(i + 1), Condition: Ready})
+	}
+	home := func(seed uint64) (ServerID, *world) {
+		w := newWorld(t, settings(), list)
+		w.r.rng = seed
+		_, acts := w.arrive(safe)
+		return w.sent(acts), w
+	}
+	a, w := home(1)
+	if b, _ := home(2); a != b {
+		t.Errorf("two routers read one text at %d and %d", a, b)
+	}
+	w.r.servers[a].waiting = 1e9
+	_, acts := w.arrive(safe)
+	next := w.sent(acts)
+	if next == a {
+		t.Error("no spill from a home past its bound")
+	}
+	for _, s := range w.r.order {
+		s.waiting = 2e9
+	}
+	w.r.servers[5].waiting = 1e9
+	if _, acts := w.arrive(safe); w.sent(acts) != 5 {
+		t.Error("with all past the bound the fewest waiting tokens decide")
+	}
+}
+
+// A server that fails or falls silent is left out, comes back after a good trial, and a router always
+// keeps a candidate.
+func TestHealth(t *testing.T) {
+	t.Run("a failed connect", func(t *testing.T) {
+		w := newWorld(t, settings(), fleet())
+		id, writer := w.read(safe)
+		w.end(id, 1, writer, ConnectFailed)
+		s := w.r.servers[writer]
+		if !w.r.suspect(s, false) {
+			t.Error("not left out")
+		}
+		w.now = s.until
+		w.r.now = w.now
+		if w.r.suspect(s, false) || !w.r.suspect(s, true) {
+			t.Error("a trial is due, but not with what can't be repeated")
+		}
+	})
+	t.Run("silence", func(t *testing.T) {
+		w := newWorld(t, settings(), fleet())
+		_, writer := w.read(unsafeClass)
+		w.now += Second
+		for range 3 {
+			if _, other := w.read(safe); other == writer {
+				t.Fatal("sent to a silent writer while others are heard")
+			}
+		}
+	})
+	t.Run("all look dead", func(t *testing.T) {
+		w := newWorld(t, settings(), fleet())
+		for _, s := range w.r.order {
+			s.bench, s.until = longestBench, w.now+longestBench
+		}
+		_, acts := w.arrive(safe)
+		w.sent(acts)
+	})
+}
+
+// A long prompt is given the time to be read: cutting it off would only read it again elsewhere.
+func TestLongPromptsAreNotCutOff(t *testing.T) {
+	w := newWorld(t, settings(), fleet())
+	for range 20 {
+		w.serve()
+	}
+	w.ids++
+	acts := w.do(Event{Kind: Arrived, Request: w.ids, Job: Job{Session: 5, Prompt: 30000,
+		Deadline: w.now + 6*Second}})
+	if a := find(acts, Send); a == nil || float64(a.After) < 30000*w.r.pace {
+		t.Errorf("got %+v at a pace of %v ns a token", a, w.r.pace)
+	}
+}
+
+// Same events, same actions, whatever other instances do in between.
+func TestDeterminism(t *testing.T) {
+	play := func(other bool) (all []Action) {
+		w := newWorld(t, settings(), fleet())
+		o := newWorld(t, settings(), fleet())
+		for i := range 200 {
+			if other {
+				o.serve()
+			}
+			id, acts := w.arrive(i % 2)
+			all = append(all, acts...)
+			reader := find(acts, Send)
+			if reader == nil {
+				continue
+			}
+			acts = w.end(id, 0, reader.Server, []Outcome{ReadDone, ReadDone, Error, TimedOut}[i%4])
+			all = append(all, acts...)
+			if a := find(acts, Send); a != nil && i%3 == 0 {
+				all = append(all, w.end(id, 1, a.Server, Error)...)
+			}
+		}
+		return all
+	}
+	first, again, mixed := play(false), play(false), play(true)
+	if len(first) < 400 || !reflect.DeepEqual(first, again) || !reflect.DeepEqual(first, mixed) {
+		t.Error("the same events led to other actions")
+	}
+}
--- /dev/null
+++ b/test.sh
@@ -0,0 +1,11 @@
+#!/usr/bin/env bash
+# The project's tests: formatting, vet, and every test with the race detector.
+set -euo pipefail
+cd "$(dirname "$0")"
+unformatted=$(gofmt -l cmd decide internal)
+if [ -n "$unformatted" ]; then
+	echo "gofmt: $unformatted" >&2
+	exit 1
+fi
+go vet ./...
+go test -race -count=1 ./...
