--- a/decide/decide.go
+++ b/decide/decide.go
@@ -33,11 +33,11 @@
 	spillShare = 0.4
 	// startPace is the time to read a token assumed before any read has been seen.
 	startPace = 100e3
-	// paceDown and paceUp weigh a new read in the pace: quick down and slow up, so that it follows the
+	// paceDown weighs a faster read in the pace, paceUp is the step after a slower one: it follows the
 	// fast reads, which met no queue. A mean would grow with load, shrink the spill bound, and so
 	// scatter the texts just when reading them anew is dearest.
 	paceDown = 0.2
-	paceUp   = 0.01
+	paceUp   = 0.002
 	// paceTokens is the least that a read is taken for; under it the fixed time of a read prevails.
 	paceTokens = 256.0
 	// farCell and farZone are how many own streams more a writer of the reader's cell, or zone, may have
@@ -79,6 +79,20 @@
 	mixGain = 0.05
 	// rateSpan is the memory of the work rates that the cold budget is guessed from.
 	rateSpan = 5 * Second
+	// admitShare of the aim may the predicted wait for a first token reach before requests are refused at
+	// their arrival, the more the longer it is; admitPower makes the refusing steep. Some are always let
+	// in, so that the end of the trouble is seen.
+	admitShare = 1.0
+	admitPower = 2.0
+	// fullLow and fullHigh: the smallest footprint that any writer would have after this request, from
+	// which none and all of the requests of the least worth are refused. Past that, writers put their
+	// newest streams back and read them anew, which costs all streams. Classes of more worth, up to
+	// fullSpare later.
+	fullLow   = 0.9
+	fullHigh  = 0.98
+	fullSpare = 0.04
+	// maxFulls answers 'full' are enough to see that a third server will not do.
+	maxFulls = 2
 	// probePoints of the result may go into probes at the most (0.004 is 0.4 points in 100).
 	probePoints = 0.004
 	// probeFastest and probeSlowest bound the time between probes of one server.
@@ -148,6 +162,7 @@
 	runAt     Time    // when the first that may have run was sent
 	runOn     *server
 	tried     []*server
+	fulls     int
 	closed    bool
 	startedAt Time
 }
@@ -164,7 +179,7 @@
 	out      []Action
 	pace     float64 // ns to read one token
 	leastAim Duration
-	rate     [3]float64 // decayed own work by stage
+	rate     [3]float64 // decayed own sends by stage, weighed by their work (1 is the mean)
 	rateAt   [3]Time
 	meanWork [3]float64 // of one send at a stage
 	arrivals float64    // decayed own arrivals
@@ -260,6 +275,10 @@
 	r.arriveAt = r.now
 	w := &r.work[q.job.Class]
 	w.prompt += answerGain * (q.job.Prompt - w.prompt)
+	if r.random() < r.refusal(q) {
+		r.giveUp(q)
+		return
+	}
 	r.read(q)
 }
 
@@ -277,6 +296,30 @@
 	}
 }
 
+// refusal is how likely a request is to be refused at its arrival. It guards against every overload,
+// whatever its cause: what would come late takes the place of what could come in time, and writers
+// pushed over their memory do work twice. It may harm when a few servers alone make the usual times.
+func (r *Router) refusal(q *request) float64 {
+	reader, writer := r.pickReader(q), r.pickWriter(q)
+	if reader == nil || writer == nil {
+		return 0 // sending will find out
+	}
+	wait := reader.answer * (reader.waiting + reader.fresh(q) + paceTokens) * r.pace
+	wait += r.usual(Writer, nil) * writeExpected
+	late := wait / (admitShare * float64(r.aim(q)))
+	chance := 1 - math.Pow(max(late, 1), -admitPower)
+	if writer.share < 0 {
+		return chance
+	}
+	worth, most := r.set.Classes[q.job.Class].Worth, 0.0
+	for _, c := range r.set.Classes {
+		most = max(most, c.Worth)
+	}
+	spare := fullSpare * worth / max(most, 1e-9)
+	full := (r.footprint(writer, q.job.Prompt) - fullLow - spare) / (fullHigh - fullLow)
+	return max(chance, min(full, 1))
+}
+
 // first: the answer has begun. It now belongs to the client, and all else that was held is let go.
 func (r *Router) first(ev *Event) {
 	s := r.servers[ev.Server]
@@ -316,10 +359,13 @@
 		return
 	}
 	q.tried = append(q.tried, s)
+	if ev.Outcome == Full && !ev.NoState {
+		q.fulls++
+	}
 	switch {
 	case ev.Outcome == ReadDone:
 		r.write(q)
-	case ev.Outcome == Moot || !r.worthAnother(q):
+	case ev.Outcome == Moot || q.fulls >= maxFulls || !r.worthAnother(q):
 		r.giveUp(q)
 	case was == reading || ev.NoState:
 		q.state = nil
@@ -416,11 +462,11 @@
 
 // learnPace takes in the time that a read took for each token.
 func (r *Router) learnPace(sample float64) {
-	gain := paceUp
 	if sample < r.pace {
-		gain = paceDown
+		r.pace += paceDown * (sample - r.pace)
+	} else {
+		r.pace *= 1 + paceUp
 	}
-	r.pace += gain * (sample - r.pace)
 }
 
 // fresh guesses how many tokens of a prompt a reader has not kept.
@@ -636,7 +682,7 @@
 			n++
 		}
 	}
-	sum := r.rate[st] * decay(r.now-r.rateAt[st], rateSpan) / max(r.meanWork[st], 1)
+	sum := r.rate[st] * decay(r.now-r.rateAt[st], rateSpan)
 	return sum / (float64(rateSpan) / float64(Second)) / max(n, 1)
 }
 
@@ -645,7 +691,7 @@
 		r.meanWork[st] = work
 	}
 	r.meanWork[st] += mixGain * (work - r.meanWork[st])
-	r.rate[st] = r.rate[st]*decay(r.now-r.rateAt[st], rateSpan) + work
+	r.rate[st] = r.rate[st]*decay(r.now-r.rateAt[st], rateSpan) + work/max(r.meanWork[st], 1)
 	r.rateAt[st] = r.now
 }
 
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -310,8 +310,9 @@
 	w.now += 25 * ms
 	acts = w.do(Event{Kind: Ended, Request: id, Server: reader, Outcome: ReadDone, Spent: 25 * ms, Kept: 800})
 	writer := w.sent(acts)
-	w.now += 25 * ms
-	w.do(Event{Kind: FirstToken, Request: id, Attempt: 1, Server: writer, Spent: 20 * ms})
+	w.now += 10 * ms
+	w.do(Event{Kind: FirstToken, Request: id, Attempt: 1, Server: writer, Spent: 10 * ms})
+	w.now += 15 * ms
 	w.do(Event{Kind: Ended, Request: id, Attempt: 1, Server: writer, Outcome: Served, Spent: 25 * ms, Closed: true})
 	return writer
 }
@@ -505,3 +506,41 @@
 		t.Error("the same events led to other actions")
 	}
 }
+
+// In overload requests are refused when they come, not failed when it is too late, and the classes of
+// less worth first.
+func TestOverloadIsRefusedAtArrival(t *testing.T) {
+	refused := func(class int, share float64) (n int) {
+		set := settings()
+		set.Classes[1] = set.Classes[0]
+		set.Classes[1].Worth = 3
+		w := newWorld(t, set, fleet())
+		for _, s := range w.r.order {
+			s.share = share
+		}
+		for range 100 {
+			w.r.servers[11].sent, w.r.servers[12].sent, w.r.servers[13].sent = 0, 0, 0
+			if _, acts := w.arrive(class); find(acts, Refuse) != nil {
+				n++
+			}
+		}
+		return n
+	}
+	if n := refused(0, 0.5); n != 0 {
+		t.Errorf("%d refused while writers have room", n)
+	}
+	low, high := refused(0, 0.93), refused(1, 0.93)
+	if low == 0 || high >= low {
+		t.Errorf("with writers nearly full %d of the lesser and %d of the worthier were refused", low, high)
+	}
+}
+
+// Requests that two servers turned away as full do not go round the rest of the pool.
+func TestFullPoolsAreNotToured(t *testing.T) {
+	w := newWorld(t, settings(), fleet())
+	id, writer := w.read(safe)
+	second := w.sent(w.end(id, 1, writer, Full))
+	if acts := w.end(id, 2, second, Full); find(acts, Refuse) == nil || find(acts, Release) == nil {
+		t.Errorf("got %v", kinds(acts))
+	}
+}
