--- a/decide/decide.go
+++ b/decide/decide.go
@@ -433,8 +433,7 @@
 // --- reader choice ---
 
 // pickReader walks the key's readers from its home on and takes the first whose own waiting tokens are
-// under the spill bound, to which the tokens are added that the reader is known to have kept of this
-// prompt: reading those anew elsewhere would take as long. If all are past it, the fewest decide.
+// under the spill bound; if all are past it, the one with the fewest.
 func (r *Router) pickReader(q *request) *server {
 	bound := spillShare * float64(r.leastAim) / r.pace / float64(r.set.Routers)
 	for _, strict := range []bool{true, false} {
@@ -444,8 +443,7 @@
 			if s.role&Reader == 0 || !r.candidate(q, s, reading, strict) {
 				continue
 			}
-			room := s.waiting <= bound+q.job.Prompt-s.fresh(q)
-			if h := mix(q.key ^ mix(uint64(s.id))); room && (home == nil || h > best) {
+			if h := mix(q.key ^ mix(uint64(s.id))); s.waiting <= bound && (home == nil || h > best) {
 				home, best = s, h
 			}
 			if fewest == nil || s.waiting < fewest.waiting {
