--- a/decide/decide.go
+++ b/decide/decide.go
@@ -33,11 +33,6 @@
 	spillShare = 0.4
 	// startPace is the time to read a token assumed before any read has been seen.
 	startPace = 100e3
-	// hotHomes times its share of the traffic of all readers is how many homes a text has more than one:
-	// at 1, no reader gets more than about an even part of a hot text.
-	hotHomes = 1.0
-	// textMemory arrivals are counted before counts are halved.
-	textMemory = 400.0
 	// paceDown weighs a faster read in the pace, paceUp is the step after a slower one: it follows the
 	// fast reads, which met no queue. A mean would grow with load, shrink the spill bound, and so
 	// scatter the texts just when reading them anew is dearest.
@@ -190,8 +185,6 @@
 	arrivals float64    // decayed own arrivals
 	arriveAt Time
 	work     []classWork
-	texts    map[uint64]float64 // late arrivals by key
-	textSum  float64
 }
 
 // classWork is the mean work of a class, as far as seen.
@@ -200,7 +193,7 @@
 // New returns a router that knows nothing but its settings.
 func New(set *Settings, seed uint64, now Time) *Router {
 	r := &Router{set: set, rng: seed, now: now, born: now, pace: startPace,
-		servers: map[ServerID]*server{}, requests: map[RequestID]*request{}, texts: map[uint64]float64{}}
+		servers: map[ServerID]*server{}, requests: map[RequestID]*request{}}
 	r.leastAim = math.MaxInt64
 	for _, c := range set.Classes {
 		r.leastAim = min(r.leastAim, c.Aim)
@@ -278,7 +271,6 @@
 		q.key = ev.Job.Session
 	}
 	r.requests[q.id] = q
-	r.countText(q.key)
 	r.arrivals = r.arrivals*decay(r.now-r.arriveAt, rateSpan) + 1
 	r.arriveAt = r.now
 	w := &r.work[q.job.Class]
@@ -441,60 +433,31 @@
 // --- reader choice ---
 
 // pickReader walks the key's readers from its home on and takes the first whose own waiting tokens are
-// under the spill bound; if all are past it, the one with the fewest. A text that much of the traffic
-// begins with has several homes, by its share; its sessions are spread over them.
+// under the spill bound; if all are past it, the one with the fewest.
 func (r *Router) pickReader(q *request) *server {
 	bound := spillShare * float64(r.leastAim) / r.pace / float64(r.set.Routers)
 	for _, strict := range []bool{true, false} {
-		var walk []*server
+		var home, fewest *server
+		var best uint64
 		for _, s := range r.order {
-			if s.role&Reader != 0 && r.candidate(q, s, reading, strict) {
-				walk = append(walk, s)
+			if s.role&Reader == 0 || !r.candidate(q, s, reading, strict) {
+				continue
 			}
-		}
-		if len(walk) == 0 {
-			continue
-		}
-		home := func(s *server) uint64 { return mix(q.key ^ mix(uint64(s.id))) }
-		sort.Slice(walk, func(i, j int) bool { return home(walk[i]) > home(walk[j]) })
-		homes := min(int(hotHomes*r.textShare(q.key)*float64(len(walk)))+1, len(walk))
-		if first := int(mix(q.job.Session) % uint64(homes)); first > 0 {
-			walk[0], walk[first] = walk[first], walk[0]
-		}
-		fewest := walk[0]
-		for _, s := range walk {
-			if s.waiting <= bound {
-				return s
+			if h := mix(q.key ^ mix(uint64(s.id))); s.waiting <= bound && (home == nil || h > best) {
+				home, best = s, h
 			}
-			if s.waiting < fewest.waiting {
+			if fewest == nil || s.waiting < fewest.waiting {
 				fewest = s
 			}
 		}
-		return fewest
-	}
-	return nil
-}
-
-// textShare is the share of this router's late arrivals that have a key.
-func (r *Router) textShare(key uint64) float64 {
-	return r.texts[key] / max(r.textSum, 1)
-}
-
-// countText takes in an arrival's key; old counts fade by halving all, now and then.
-func (r *Router) countText(key uint64) {
-	r.texts[key]++
-	if r.textSum++; r.textSum < textMemory {
-		return
-	}
-	r.textSum = 0
-	for k, n := range r.texts {
-		if n /= 2; n < 1 {
-			delete(r.texts, k)
-		} else {
-			r.texts[k] = n
-			r.textSum += n
+		if home != nil {
+			return home
+		}
+		if fewest != nil {
+			return fewest
 		}
 	}
+	return nil
 }
 
 // learnPace takes in the time that a read took for each token.
