--- a/decide/decide.go
+++ b/decide/decide.go
@@ -82,8 +82,8 @@
 	// admitShare of the aim may the predicted wait for a first token reach before requests are refused at
 	// their arrival, the more the longer it is; admitPower makes the refusing steep. Some are always let
 	// in, so that the end of the trouble is seen.
-	admitShare = 1.0
-	admitPower = 2.0
+	admitShare = 0.6
+	admitPower = 4.0
 	// fullLow and fullHigh: the smallest footprint that any writer would have after this request, from
 	// which none and all of the requests of the least worth are refused. Past that, writers put their
 	// newest streams back and read them anew, which costs all streams. Classes of more worth, up to
