--- a/decide/decide.go
+++ b/decide/decide.go
@@ -79,9 +79,9 @@
 	mixGain = 0.05
 	// rateSpan is the memory of the work rates that the cold budget is guessed from.
 	rateSpan = 5 * Second
-	// admitShare of the aim may the predicted wait in queues reach before requests are refused at their
-	// arrival, the more the longer it is; admitPower makes the refusing steep. Some are always let in, so
-	// that the end of the trouble is seen. What a prompt itself takes to read is not held against it.
+	// admitShare of the aim may the predicted wait for a first token reach before requests are refused at
+	// their arrival, the more the longer it is; admitPower makes the refusing steep. Some are always let
+	// in, so that the end of the trouble is seen.
 	admitShare = 0.6
 	admitPower = 4.0
 	// fullLow and fullHigh: the smallest footprint that any writer would have after this request, from
@@ -128,7 +128,6 @@
 
 	answer  float64 // usual time of its answers, over what was expected
 	answers int
-	delay   float64 // usual wait at a reader before the own prompt's read, ns
 	failing float64
 	bench   Duration // 0: in good standing
 	until   Time     // with bench > 0: no trial before
@@ -305,7 +304,8 @@
 	if reader == nil || writer == nil {
 		return 0 // sending will find out
 	}
-	wait := max(reader.delay, reader.waiting*r.pace) + r.usual(Writer, nil)*writeExpected
+	wait := reader.answer * (reader.waiting + reader.fresh(q) + paceTokens) * r.pace
+	wait += r.usual(Writer, nil) * writeExpected
 	late := wait / (admitShare * float64(r.aim(q)))
 	chance := 1 - math.Pow(max(late, 1), -admitPower)
 	if writer.share < 0 {
@@ -399,18 +399,13 @@
 	case ReadDone:
 		r.sign(s)
 		r.good(s, float64(ev.Spent)/q.expect)
-		fresh := max(q.job.Prompt-ev.Kept, paceTokens)
-		r.learnPace(float64(ev.Spent) / fresh)
-		s.delay += answerGain * (max(0, float64(ev.Spent)-fresh*r.pace) - s.delay)
+		r.learnPace(float64(ev.Spent) / max(q.job.Prompt-ev.Kept, paceTokens))
 	case Full:
 		r.sign(s)
 	case Error, Reset, TimedOut, ConnectFailed:
 		if ev.Outcome == TimedOut && q.stage != streaming {
 			// At least so long: under load that all share, the usual time grows and time-outs with it.
 			s.learn(float64(ev.Spent) / q.expect)
-			if q.stage == reading {
-				s.delay += answerGain * (max(0, float64(ev.Spent)-q.tokens*r.pace) - s.delay)
-			}
 		}
 		r.bad(s, ev.Outcome == ConnectFailed)
 	}
