--- a/decide/decide.go
+++ b/decide/decide.go
@@ -81,7 +81,8 @@
 	rateSpan = 5 * Second
 	// admitShare of the aim may the predicted wait for a first token reach before requests are refused at
 	// their arrival, the more the longer it is; admitPower makes the refusing steep. Some are always let
-	// in, so that the end of the trouble is seen.
+	// in, so that the end of the trouble is seen. A prompt's own bare read is not held against it, but what its
+	// tokens take longer under load is: shedding the long reads clears a pool of readers soonest.
 	admitShare = 0.6
 	admitPower = 4.0
 	// fullLow and fullHigh: the smallest footprint that any writer would have after this request, from
@@ -304,7 +305,8 @@
 	if reader == nil || writer == nil {
 		return 0 // sending will find out
 	}
-	wait := reader.answer * (reader.waiting + reader.fresh(q) + paceTokens) * r.pace
+	fresh := reader.fresh(q)
+	wait := (reader.answer*(reader.waiting+fresh+paceTokens) - fresh) * r.pace
 	wait += r.usual(Writer, nil) * writeExpected
 	late := wait / (admitShare * float64(r.aim(q)))
 	chance := 1 - math.Pow(max(late, 1), -admitPower)
