--- a/decide/decide.go
+++ b/decide/decide.go
@@ -83,7 +83,7 @@
 	// their arrival, the more the longer it is; admitPower makes the refusing steep. Some are always let
 	// in, so that the end of the trouble is seen. A prompt's own bare read is not held against it, but what its
 	// tokens take longer under load is: shedding the long reads clears a pool of readers soonest.
-	admitShare = 0.6
+	admitShare = 0.45
 	admitPower = 4.0
 	// fullLow and fullHigh: the smallest footprint that any writer would have after this request, from
 	// which none and all of the requests of the least worth are refused. Past that, writers put their
