--- a/decide/decide.go
+++ b/decide/decide.go
@@ -79,9 +79,9 @@
 	mixGain = 0.05
 	// rateSpan is the memory of the work rates that the cold budget is guessed from.
 	rateSpan = 5 * Second
-	// admitShare of the aim may the predicted wait for a first token reach before requests are refused at
-	// their arrival, the more the longer it is; admitPower makes the refusing steep. Some are always let
-	// in, so that the end of the trouble is seen. A prompt's own bare read is not held against it, but what its
+	// admitShare of the aim may the predicted wait in queues reach before requests are refused at their
+	// arrival, the more the longer it is; admitPower makes the refusing steep. Some are always let in, so
+	// that the end of the trouble is seen. A prompt's own bare read is not held against it, but what its
 	// tokens take longer under load is: shedding the long reads clears a pool of readers soonest.
 	admitShare = 0.45
 	admitPower = 4.0
