--- a/decide/decide.go
+++ b/decide/decide.go
@@ -72,9 +72,9 @@
 	longestBench = 8 * Second
 	// coldMargin of this router's share of a cold server's budget is used: routers are unequal and do
 	// not know of each other's sends.
-	coldMargin = 0.6
+	coldMargin = 0.9
 	// coldChance sends are held back from the budget in proportion to its smallness (b*b/(b+coldChance)).
-	coldChance = 4.0
+	coldChance = 1.0
 	// mixGain weighs a send in the mean work of all: rare heavy classes must count, some 20 sends do.
 	mixGain = 0.05
 	// rateSpan is the memory of the work rates that the cold budget is guessed from.
