--- a/decide/decide.go
+++ b/decide/decide.go
@@ -55,10 +55,7 @@
 	quietTypical = 4.0
 	quietFloor   = 0.25
 	// slowTimes the median answer time of its peers, each over what was expected, makes it suspect.
-	slowTimes = 2.2
-	// backTimes: a trial must be this good to end a bench. One lucky answer of a slow server would
-	// else bring it a row of streams.
-	backTimes = 1.7
+	slowTimes = 3.0
 	// writeExpected is the unit of first-token times; readers' are measured by the tokens to read.
 	writeExpected = 50e6
 	// slowSamples answers are needed to judge a server by its times.
@@ -762,13 +759,12 @@
 		s.answer = spent
 	}
 	s.learn(spent)
+	slow := usual > 0 && s.answer > slowTimes*usual
 	switch {
-	case s.bench > 0 && usual > 0 && s.answer > backTimes*usual:
+	case slow && s.answers >= slowSamples:
 		r.benchIt(s, false)
 	case s.bench > 0:
 		s.bench, s.failing = 0, failAfterTrial
-	case s.answers >= slowSamples && usual > 0 && s.answer > slowTimes*usual:
-		r.benchIt(s, false)
 	}
 }
 
