--- a/decide/decide.go
+++ b/decide/decide.go
@@ -123,7 +123,7 @@
 	waiting   float64
 	streams   int
 	booked    float64 // prompt tokens of own streams
-	sent      float64 // prompt tokens sent since the last report
+	sent      float64 // prompt tokens sent since the last report, less those that ended since
 	share     float64 // reported share of memory, negative while untold
 	kept      map[uint64]float64
 
@@ -386,6 +386,7 @@
 	} else {
 		s.streams--
 		s.booked = max(0, s.booked-q.tokens)
+		s.sent -= q.tokens
 	}
 	if q.stage == streaming {
 		if ev.Outcome == Served {
@@ -533,7 +534,7 @@
 	if s.memory <= 0 {
 		return max(0, s.share)
 	}
-	return max(0, s.share) + (s.sent+tokens)/s.memory
+	return max(0, max(0, s.share)+s.sent/s.memory) + tokens/s.memory
 }
 
 // far is the handicap, in streams, of a writer to which the state must cross a link.
