--- a/decide/decide.go
+++ b/decide/decide.go
@@ -85,6 +85,8 @@
 	// tokens take longer under load is: shedding the long reads clears a pool of readers soonest.
 	admitShare = 0.45
 	admitPower = 4.0
+	// fadeSpan is how long an answer time counts for refusals when no newer one comes.
+	fadeSpan = 2 * Second
 	// fullLow and fullHigh: the smallest footprint that any writer would have after this request, from
 	// which none and all of the requests of the least worth are refused. Past that, writers put their
 	// newest streams back and read them anew, which costs all streams. Classes of more worth, up to
@@ -127,11 +129,12 @@
 	share     float64 // reported share of memory, negative while untold
 	kept      map[uint64]float64
 
-	answer  float64 // usual time of its answers, over what was expected
-	answers int
-	failing float64
-	bench   Duration // 0: in good standing
-	until   Time     // with bench > 0: no trial before
+	answer   float64 // usual time of its answers, over what was expected
+	answers  int
+	answered Time // when the last came
+	failing  float64
+	bench    Duration // 0: in good standing
+	until    Time     // with bench > 0: no trial before
 
 	coldNext Time // rule 4: nothing before
 	probing  bool
@@ -306,8 +309,8 @@
 		return 0 // sending will find out
 	}
 	fresh := reader.fresh(q)
-	wait := (reader.answer*(reader.waiting+fresh+paceTokens) - fresh) * r.pace
-	wait += r.usual(Writer, nil) * writeExpected
+	wait := (r.recent(reader)*(reader.waiting+fresh+paceTokens) - fresh) * r.pace
+	wait += r.recent(writer) * writeExpected
 	late := wait / (admitShare * float64(r.aim(q)))
 	chance := 1 - math.Pow(max(late, 1), -admitPower)
 	if writer.share < 0 {
@@ -322,6 +325,12 @@
 	return max(chance, min(full, 1))
 }
 
+// recent is a server's answer time, faded since its last answer: what is refused brings no news, and an
+// old bad time must not go on refusing for ever.
+func (r *Router) recent(s *server) float64 {
+	return s.answer * decay(r.now-s.answered, fadeSpan)
+}
+
 // first: the answer has begun. It now belongs to the client, and all else that was held is let go.
 func (r *Router) first(ev *Event) {
 	s := r.servers[ev.Server]
@@ -408,7 +417,7 @@
 	case Error, Reset, TimedOut, ConnectFailed:
 		if ev.Outcome == TimedOut && q.stage != streaming {
 			// At least so long: under load that all share, the usual time grows and time-outs with it.
-			s.learn(float64(ev.Spent) / q.expect)
+			s.learn(float64(ev.Spent)/q.expect, r.now)
 		}
 		r.bad(s, ev.Outcome == ConnectFailed)
 	}
@@ -744,12 +753,13 @@
 func (r *Router) sign(s *server) { s.quietFrom = r.now }
 
 // learn takes in an answer time.
-func (s *server) learn(spent float64) {
+func (s *server) learn(spent float64, now Time) {
 	if s.answers == 0 {
 		s.answer = spent
 	}
 	s.answer += answerGain * (spent - s.answer)
 	s.answers++
+	s.answered = now
 }
 
 // good: a server has answered in so much time. A benched one is back if that is no longer slow.
@@ -759,7 +769,7 @@
 	if s.bench > 0 {
 		s.answer = spent
 	}
-	s.learn(spent)
+	s.learn(spent, r.now)
 	slow := usual > 0 && s.answer > slowTimes*usual
 	switch {
 	case slow && s.answers >= slowSamples:
