--- a/decide/decide.go
+++ b/decide/decide.go
@@ -85,7 +85,8 @@
 	// tokens take longer under load is: shedding the long reads clears a pool of readers soonest.
 	admitShare = 0.45
 	admitPower = 4.0
-	// fadeSpan is how long an answer time counts for refusals when no newer one comes.
+	// fadeSpan is how long an answer time counts whole for refusals when no newer one comes; then it fades
+	// as fast.
 	fadeSpan = 2 * Second
 	// fullLow and fullHigh: the smallest footprint that any writer would have after this request, from
 	// which none and all of the requests of the least worth are refused. Past that, writers put their
@@ -310,7 +311,7 @@
 	}
 	fresh := reader.fresh(q)
 	wait := (r.recent(reader)*(reader.waiting+fresh+paceTokens) - fresh) * r.pace
-	wait += r.recent(writer) * writeExpected
+	wait += r.median(Writer, nil, r.recent) * writeExpected
 	late := wait / (admitShare * float64(r.aim(q)))
 	chance := 1 - math.Pow(max(late, 1), -admitPower)
 	if writer.share < 0 {
@@ -325,10 +326,10 @@
 	return max(chance, min(full, 1))
 }
 
-// recent is a server's answer time, faded since its last answer: what is refused brings no news, and an
-// old bad time must not go on refusing for ever.
+// recent is a server's answer time, faded once it is old: what is refused brings no news, and an old
+// bad time must not go on refusing for ever.
 func (r *Router) recent(s *server) float64 {
-	return s.answer * decay(r.now-s.answered, fadeSpan)
+	return s.answer * decay(max(0, r.now-s.answered-fadeSpan), fadeSpan)
 }
 
 // first: the answer has begun. It now belongs to the client, and all else that was held is let go.
@@ -736,10 +737,14 @@
 
 // usual is the median answer time of the servers of a role, without one of them.
 func (r *Router) usual(role Role, but *server) float64 {
+	return r.median(role, but, func(s *server) float64 { return s.answer })
+}
+
+func (r *Router) median(role Role, but *server, of func(*server) float64) float64 {
 	var times []float64
 	for _, s := range r.order {
 		if s != but && s.role&role != 0 && s.ready && s.answers >= slowSamples {
-			times = append(times, s.answer)
+			times = append(times, of(s))
 		}
 	}
 	if len(times) == 0 {
