--- a/decide/decide.go
+++ b/decide/decide.go
@@ -544,7 +544,7 @@
 	if s.memory <= 0 {
 		return max(0, s.share)
 	}
-	return max(0, max(0, s.share)+s.sent*float64(r.set.Routers)/s.memory) + tokens/s.memory
+	return max(0, max(0, s.share)+s.sent/s.memory) + tokens/s.memory
 }
 
 // far is the handicap, in streams, of a writer to which the state must cross a link.
