--- a/decide/decide.go
+++ b/decide/decide.go
@@ -44,6 +44,8 @@
 	// before the state is moved out: a move crosses one shared link and has a price.
 	farCell = 1.0
 	farZone = 2.0
+	// jamSpan is how long a jam of the links is remembered when no state is moved there.
+	jamSpan = 5 * Second
 	// readCap and writeCap are the share of the aim after which an attempt is given up for another
 	// server: half leaves one more try within the aim.
 	readCap  = 0.5
@@ -187,7 +189,9 @@
 	rate     [3]float64 // decayed own sends by stage, weighed by their work (1 is the mean)
 	rateAt   [3]Time
 	meanWork [3]float64 // of one send at a stage
-	arrivals float64    // decayed own arrivals
+	moved    [3]float64 // usual time to a first token by the distance of the move, ns
+	movedAt  [3]Time
+	arrivals float64 // decayed own arrivals
 	arriveAt Time
 	work     []classWork
 }
@@ -342,6 +346,7 @@
 	r.sign(s)
 	s.pending--
 	r.good(s, float64(ev.Spent)/q.expect)
+	r.learnMove(distance(q, s), ev.Spent)
 	q.stage, q.mayHold, q.state, q.startedAt = streaming, false, nil, r.now
 }
 
@@ -419,6 +424,9 @@
 		if ev.Outcome == TimedOut && q.stage != streaming {
 			// At least so long: under load that all share, the usual time grows and time-outs with it.
 			s.learn(float64(ev.Spent)/q.expect, r.now)
+			if q.stage == writing {
+				r.learnMove(distance(q, s), ev.Spent)
+			}
 		}
 		r.bad(s, ev.Outcome == ConnectFailed)
 	}
@@ -517,7 +525,7 @@
 			if s.share >= 0 && print > fitFraction {
 				continue
 			}
-			n, c := float64(s.streams)+r.far(q, s), s.booked+streamWeight*float64(s.streams)
+			n, c := float64(s.streams)+r.far(distance(q, s)), s.booked+streamWeight*float64(s.streams)
 			switch {
 			case pick == nil || n < streams || n == streams && c < cost:
 				pick, streams, cost, ties = s, n, c, 1
@@ -547,15 +555,43 @@
 	return max(0, max(0, s.share)+s.sent/s.memory) + tokens/s.memory
 }
 
-// far is the handicap, in streams, of a writer to which the state must cross a link.
-func (r *Router) far(q *request, s *server) float64 {
+// The distances that a state may have to go.
+const (
+	sameCell = iota
+	sameZone
+	otherZone
+)
+
+// distance tells how far a writer is from where the state of a request waits.
+func distance(q *request, s *server) int {
 	switch {
 	case q.state == nil || q.state.cell == s.cell:
-		return 0
+		return sameCell
 	case q.state.zone == s.zone:
-		return farCell
+		return sameZone
 	}
-	return farZone
+	return otherZone
+}
+
+// far is the handicap, in streams, of a writer to which the state must cross a link. It grows as first
+// tokens after such moves take longer than after near ones: that is how a jam of links shows, and full
+// or slow writers at one place. It fades when no news comes, so that the way is tried again.
+func (r *Router) far(d int) float64 {
+	base := 0.0
+	switch d {
+	case sameZone:
+		base = farCell
+	case otherZone:
+		base = farZone
+	}
+	late := r.moved[d]/max(r.moved[sameCell], writeExpected) - 1
+	return base * (1 + max(0, late)*decay(r.now-r.movedAt[d], jamSpan))
+}
+
+// learnMove takes in the time from a send to a writer to its first token.
+func (r *Router) learnMove(d int, spent Duration) {
+	r.moved[d] += answerGain * (float64(spent) - r.moved[d])
+	r.movedAt[d] = r.now
 }
 
 // --- guards ---
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -570,3 +570,22 @@
 		t.Errorf("%d of 100 refused on old times", n)
 	}
 }
+
+// A far writer must have fewer streams than a near one, by more while moves there are slow (incident
+// i49e514), and the memory of a jam fades.
+func TestJammedLinksAreAvoided(t *testing.T) {
+	w := newWorld(t, settings(), fleet())
+	w.r.learnMove(sameCell, 50*ms)
+	calm := w.r.far(otherZone)
+	if w.r.far(sameCell) != 0 || w.r.far(sameZone) <= 0 || calm <= w.r.far(sameZone) {
+		t.Errorf("handicaps %v, %v, %v", w.r.far(sameCell), w.r.far(sameZone), calm)
+	}
+	for range 10 {
+		w.r.learnMove(otherZone, 2*Second)
+	}
+	jam := w.r.far(otherZone)
+	w.r.now += 10 * jamSpan
+	if jam < 4*calm || w.r.far(otherZone) > 1.1*calm {
+		t.Errorf("calm %v, jam %v, later %v", calm, jam, w.r.far(otherZone))
+	}
+}
