--- a/decide/decide.go
+++ b/decide/decide.go
@@ -171,9 +171,6 @@
 	tried     []*server
 	fulls     int
 	closed    bool
-	open      bool // in the router's open list
-	sentAt    Time // when the attempt that is out was sent
-	off       bool // the attempt that is out has been called off
 	startedAt Time
 }
 
@@ -186,7 +183,6 @@
 	servers  map[ServerID]*server
 	order    []*server // by id, so that no decision hangs on map order
 	requests map[RequestID]*request
-	open     []*request // those with an attempt that waits for a first sign, oldest first
 	out      []Action
 	pace     float64 // ns to read one token
 	leastAim Duration
@@ -424,11 +420,8 @@
 		r.learnPace(float64(ev.Spent) / max(q.job.Prompt-ev.Kept, paceTokens))
 	case Full:
 		r.sign(s)
-	case Error, Reset, TimedOut, ConnectFailed, Cancelled:
-		if ev.Outcome == Cancelled && !q.off {
-			break // the client has left
-		}
-		if (ev.Outcome == TimedOut || ev.Outcome == Cancelled) && q.stage != streaming {
+	case Error, Reset, TimedOut, ConnectFailed:
+		if ev.Outcome == TimedOut && q.stage != streaming {
 			// At least so long: under load that all share, the usual time grows and time-outs with it.
 			s.learn(float64(ev.Spent)/q.expect, r.now)
 			if q.stage == writing {
@@ -637,13 +630,8 @@
 		r.act(Action{Kind: Release, Request: q.id})
 		q.mayHold = false
 	}
-	q.stage, q.out, q.off = st, s, false
-	q.sentAt = r.now
+	q.stage, q.out = st, s
 	q.attempts++
-	if !q.open {
-		q.open = true
-		r.open = append(r.open, q)
-	}
 	if s.pending == 0 {
 		s.quietFrom = r.now
 	}
@@ -769,12 +757,10 @@
 // suspect tells whether a server is left out: it keeps silent while attempts wait, or it is benched
 // and its trial is not due. What can't be repeated (once) is no trial.
 func (r *Router) suspect(s *server, once bool) bool {
-	return r.silent(s) || s.bench > 0 && (once || r.now < s.until || s.pending > 0)
-}
-
-// silent tells whether attempts wait at a server that has given no sign for long.
-func (r *Router) silent(s *server) bool {
-	return s.pending > 0 && float64(r.now-s.quietFrom) > r.quietLimit(s)
+	if s.pending > 0 && float64(r.now-s.quietFrom) > r.quietLimit(s) {
+		return true
+	}
+	return s.bench > 0 && (once || r.now < s.until || s.pending > 0)
 }
 
 func (r *Router) quietLimit(s *server) float64 {
@@ -878,7 +864,6 @@
 // tick looks after what no event brings up.
 func (r *Router) tick() {
 	r.act(Action{Kind: WakeMe, After: tickEvery, Token: tickToken})
-	r.callOff()
 	if !r.set.Probing {
 		return
 	}
@@ -891,26 +876,6 @@
 	}
 }
 
-// callOff ends attempts at servers that have fallen silent, so that they can go elsewhere. A time-out
-// instead would also cut off those that only wait their turn, and read them anew in a pool that is short
-// already. What can't be repeated is left alone.
-func (r *Router) callOff() {
-	open := r.open[:0]
-	for _, q := range r.open {
-		q.open = q.out != nil && q.stage != streaming
-		if !q.open {
-			continue
-		}
-		open = append(open, q)
-		once := q.stage == writing && r.set.Classes[q.job.Class].Repeat != Safe
-		if r.set.MayCancel && !once && !q.off && r.silent(q.out) && r.now-q.sentAt > r.leastWait(q) {
-			q.off = true
-			r.act(Action{Kind: Cancel, Request: q.id, Attempt: q.attempts - 1})
-		}
-	}
-	r.open = open
-}
-
 // probeEvery is how often a server can be probed for the points that probes may cost.
 func (r *Router) probeEvery() Duration {
 	arrivals := r.arrivals * decay(r.now-r.arriveAt, rateSpan) / (float64(rateSpan) / float64(Second))
@@ -956,20 +921,15 @@
 // can't be repeated waits as long as its client does.
 func (r *Router) capFor(q *request) Duration {
 	left := q.job.Deadline - r.now
-	if r.set.MayCancel || q.stage == writing && r.set.Classes[q.job.Class].Repeat == Unsafe {
-		return max(left, 1) // callOff ends it if its server falls silent
-	}
-	return max(min(r.leastWait(q), left), 1)
-}
-
-// leastWait is how long an attempt is given whatever its server does: a share of the aim, but well over
-// what is usual for the work.
-func (r *Router) leastWait(q *request) Duration {
 	share, role := readCap, Reader
 	if q.stage == writing {
 		share, role = writeCap, Writer
+		if r.set.Classes[q.job.Class].Repeat == Unsafe {
+			return max(left, 1)
+		}
 	}
-	return Duration(max(share*float64(r.aim(q)), capTypical*r.usual(role, nil)*q.expect))
+	limit := Duration(max(share*float64(r.aim(q)), capTypical*r.usual(role, nil)*q.expect))
+	return max(min(limit, left), 1)
 }
 
 // decay is what is left of a weight after a time.
