--- a/decide/decide.go
+++ b/decide/decide.go
@@ -97,6 +97,14 @@
 	fullLow   = 0.9
 	fullHigh  = 0.98
 	fullSpare = 0.04
+	// shareSlack: routers get unequal parts of a tenant's traffic, so each allows that many times an even
+	// part of the share; shareBurst is how many seconds' worth may come at once.
+	shareSlack = 1.5
+	shareBurst = 2.0
+	// excessTimes the predicted wait, and excessRoom less of the writers' memory, is what traffic beyond
+	// a tenant's share is judged by.
+	excessTimes = 2.0
+	excessRoom  = 0.15
 	// maxFulls answers 'full' are enough to see that a third server will not do.
 	maxFulls = 2
 	// probePoints of the result may go into probes at the most (0.004 is 0.4 points in 100).
@@ -194,6 +202,13 @@
 	arrivals float64 // decayed own arrivals
 	arriveAt Time
 	work     []classWork
+	tenants  []tenant
+}
+
+// tenant is what is left of this router's part of a tenant's share.
+type tenant struct {
+	left float64 // requests
+	at   Time
 }
 
 // classWork is the mean work of a class, as far as seen.
@@ -208,6 +223,7 @@
 		r.leastAim = min(r.leastAim, c.Aim)
 		r.work = append(r.work, classWork{prompt: thousand, answer: float64(c.Aim)})
 	}
+	r.tenants = make([]tenant, len(set.Tenants))
 	return r
 }
 
@@ -288,9 +304,26 @@
 		r.giveUp(q)
 		return
 	}
+	if n := q.job.Tenant; n < len(r.tenants) {
+		r.tenants[n].left--
+	}
 	r.read(q)
 }
 
+// excess tells whether this router's part of a tenant's share is used up by what it let in: traffic
+// beyond is of little worth, so it is the first to go when anything runs short, and goes in otherwise.
+func (r *Router) excess(q *request) bool {
+	if q.job.Tenant >= len(r.tenants) || r.set.Tenants[q.job.Tenant].PerSecond <= 0 {
+		return false
+	}
+	t := &r.tenants[q.job.Tenant]
+	part := shareSlack * r.set.Tenants[q.job.Tenant].PerSecond / float64(r.set.Routers)
+	seconds := float64(r.now-t.at) / float64(Second)
+	t.left = min(max(t.left, -part)+part*seconds, part*shareBurst)
+	t.at = r.now
+	return t.left < 1
+}
+
 // read sends a request to a reader, or gives it up.
 func (r *Router) read(q *request) {
 	if s := r.pickReader(q); s == nil || !r.send(q, s, reading) {
@@ -316,7 +349,11 @@
 	fresh := reader.fresh(q)
 	wait := (r.recent(reader)*(reader.waiting+fresh+paceTokens) - fresh) * r.pace
 	wait += r.median(Writer, nil, r.recent) * writeExpected
+	excess := r.excess(q)
 	late := wait / (admitShare * float64(r.aim(q)))
+	if excess {
+		late *= excessTimes
+	}
 	chance := 1 - math.Pow(max(late, 1), -admitPower)
 	if writer.share < 0 {
 		return chance
@@ -326,6 +363,9 @@
 		most = max(most, c.Worth)
 	}
 	spare := fullSpare * worth / max(most, 1e-9)
+	if excess {
+		spare = -excessRoom
+	}
 	full := (r.footprint(writer, q.job.Prompt) - fullLow - spare) / (fullHigh - fullLow)
 	return max(chance, min(full, 1))
 }
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -589,3 +589,32 @@
 		t.Errorf("calm %v, jam %v, later %v", calm, jam, w.r.far(otherZone))
 	}
 }
+
+// Beyond a tenant's share traffic is refused first when anything runs short, and only then (incident
+// ic62f1f: one tenant jumped to four times the traffic).
+func TestExcessOfATenantGoesFirst(t *testing.T) {
+	refused := func(tenant int, share float64) (n int) {
+		set := settings()
+		set.Tenants = []Tenant{{PerSecond: 1000}, {PerSecond: 2}}
+		w := newWorld(t, set, fleet())
+		for _, s := range w.r.order {
+			s.share = share
+		}
+		for range 100 {
+			w.now += 10 * ms
+			w.r.servers[11].sent, w.r.servers[12].sent, w.r.servers[13].sent = 0, 0, 0
+			w.ids++
+			if find(w.do(Event{Kind: Arrived, Request: w.ids, Job: Job{Tenant: tenant, Session: uint64(w.ids),
+				Prompt: 1000, Deadline: w.now + 4*Second}}), Refuse) != nil {
+				n++
+			}
+		}
+		return n
+	}
+	if n := refused(1, 0.3); n != 0 {
+		t.Errorf("%d of the excess refused while there is room", n)
+	}
+	if in, over := refused(0, 0.85), refused(1, 0.85); in != 0 || over < 50 {
+		t.Errorf("with writers short %d within the share and %d beyond were refused", in, over)
+	}
+}
