--- a/decide/decide.go
+++ b/decide/decide.go
@@ -105,6 +105,8 @@
 	// a tenant's share is judged by.
 	excessTimes = 2.0
 	excessRoom  = 0.15
+	// answerGrowth: a stream holds its answer so far beside its booked prompt.
+	answerGrowth = 1.1
 	// maxFulls answers 'full' are enough to see that a third server will not do.
 	maxFulls = 2
 	// probePoints of the result may go into probes at the most (0.004 is 0.4 points in 100).
@@ -324,6 +326,20 @@
 	return t.left < 1
 }
 
+// books is the share of the sound writers' memory that is held if every router holds as much as this one.
+// Reports come late, and writers lost or slow leave the others full within seconds: this shows at once.
+// It may harm a router that gets far more than its part of the traffic.
+func (r *Router) books() float64 {
+	booked, memory := 0.0, 0.0
+	for _, s := range r.order {
+		if s.ready && s.role&Writer != 0 && !r.suspect(s, false) {
+			booked += s.booked
+			memory += s.memory
+		}
+	}
+	return answerGrowth * booked * float64(r.set.Routers) / max(memory, 1)
+}
+
 // read sends a request to a reader, or gives it up.
 func (r *Router) read(q *request) {
 	if s := r.pickReader(q); s == nil || !r.send(q, s, reading) {
@@ -366,7 +382,7 @@
 	if excess {
 		spare = -excessRoom
 	}
-	full := (r.footprint(writer, q.job.Prompt) - fullLow - spare) / (fullHigh - fullLow)
+	full := (max(r.footprint(writer, q.job.Prompt), r.books()) - fullLow - spare) / (fullHigh - fullLow)
 	return max(chance, min(full, 1))
 }
 
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -618,3 +618,18 @@
 		t.Errorf("with writers short %d within the share and %d beyond were refused", in, over)
 	}
 }
+
+// What this router itself has booked counts before any report tells of it (incident i49e514: the writers
+// left by a slow hall filled up between two reports).
+func TestOwnBooksShowBeforeReports(t *testing.T) {
+	w := newWorld(t, settings(), fleet())
+	for _, s := range w.r.order {
+		s.share = 0.1
+		if s.role == Writer {
+			s.booked = 0.6 * s.memory
+		}
+	}
+	if _, acts := w.arrive(safe); find(acts, Refuse) == nil {
+		t.Errorf("two routers that hold 0.6 of the writers each: got %v", kinds(acts))
+	}
+}
