--- a/decide/decide.go
+++ b/decide/decide.go
@@ -135,7 +135,6 @@
 
 	pending   int  // own attempts that wait for a first sign
 	quietFrom Time // with pending > 0: when the wait without any sign began
-	signAt    Time // last sign
 	waiting   float64
 	streams   int
 	booked    float64 // prompt tokens of own streams
@@ -485,9 +484,7 @@
 				r.learnMove(distance(q, s), ev.Spent)
 			}
 		}
-		mute := ev.Outcome == TimedOut && q.stage != streaming && s.quietFrom <= r.now-ev.Spent &&
-			2*r.heard(s, r.now-ev.Spent) >= r.inRole(s.role)
-		r.bad(s, ev.Outcome == ConnectFailed, mute)
+		r.bad(s, ev.Outcome == ConnectFailed)
 	}
 }
 
@@ -850,7 +847,7 @@
 }
 
 // sign: a server has been heard.
-func (r *Router) sign(s *server) { s.quietFrom, s.signAt = r.now, r.now }
+func (r *Router) sign(s *server) { s.quietFrom = r.now }
 
 // learn takes in an answer time.
 func (s *server) learn(spent float64, now Time) {
@@ -880,10 +877,10 @@
 }
 
 // bad: an attempt at a server has failed.
-func (r *Router) bad(s *server, dead, mute bool) {
+func (r *Router) bad(s *server, dead bool) {
 	s.failing += failGain * (1 - s.failing)
 	if dead || s.failing > failLimit || s.bench > 0 {
-		r.benchIt(s, dead || mute)
+		r.benchIt(s, dead)
 	}
 }
 
@@ -899,16 +896,6 @@
 	s.until = r.now + s.bench
 }
 
-// heard counts the servers of a role that have given a sign since a time.
-func (r *Router) heard(like *server, since Time) (n int) {
-	for _, s := range r.order {
-		if s.ready && s.role == like.role && s.signAt > since {
-			n++
-		}
-	}
-	return n
-}
-
 // inRole counts the ready servers of a role, benched those of them that are benched.
 func (r *Router) inRole(role Role) (n int) {
 	for _, s := range r.order {
@@ -964,7 +951,7 @@
 	if ev.Outcome == Served {
 		r.report(s, ev.Report)
 	} else {
-		r.bad(s, ev.Outcome == ConnectFailed, false)
+		r.bad(s, ev.Outcome == ConnectFailed)
 	}
 }
 
