--- a/decide/decide.go
+++ b/decide/decide.go
@@ -50,6 +50,10 @@
 	// server: half leaves one more try within the aim.
 	readCap  = 0.5
 	writeCap = 0.6
+	// againPart of the requests, and againMost at once, may be cut off for another attempt. When more are,
+	// the pool is short, not a server: then attempts wait their turn, or all would be done twice.
+	againPart = 0.03
+	againMost = 2.0
 	// capTypical keeps time-outs that many times over what is usual, so load alone causes none.
 	capTypical = 4.0
 	// quietTypical times the usual answer time without any sign while attempts wait makes a server
@@ -201,6 +205,7 @@
 	meanWork [3]float64 // of one send at a stage
 	moved    [3]float64 // usual time to a first token by the distance of the move, ns
 	movedAt  [3]Time
+	again    float64 // time-outs that may still lead to another attempt
 	arrivals float64 // decayed own arrivals
 	arriveAt Time
 	work     []classWork
@@ -225,6 +230,7 @@
 		r.leastAim = min(r.leastAim, c.Aim)
 		r.work = append(r.work, classWork{prompt: thousand, answer: float64(c.Aim)})
 	}
+	r.again = againMost
 	r.tenants = make([]tenant, len(set.Tenants))
 	return r
 }
@@ -298,6 +304,7 @@
 		q.key = ev.Job.Session
 	}
 	r.requests[q.id] = q
+	r.again = min(r.again+againPart, againMost)
 	r.arrivals = r.arrivals*decay(r.now-r.arriveAt, rateSpan) + 1
 	r.arriveAt = r.now
 	w := &r.work[q.job.Class]
@@ -480,6 +487,7 @@
 		if ev.Outcome == TimedOut && q.stage != streaming {
 			// At least so long: under load that all share, the usual time grows and time-outs with it.
 			s.learn(float64(ev.Spent)/q.expect, r.now)
+			r.again = max(0, r.again-1)
 			if q.stage == writing {
 				r.learnMove(distance(q, s), ev.Spent)
 			}
@@ -984,6 +992,9 @@
 			return max(left, 1)
 		}
 	}
+	if r.again < 1 {
+		return max(left, 1)
+	}
 	limit := Duration(max(share*float64(r.aim(q)), capTypical*r.usual(role, nil)*q.expect))
 	return max(min(limit, left), 1)
 }
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -633,3 +633,20 @@
 		t.Errorf("two routers that hold 0.6 of the writers each: got %v", kinds(acts))
 	}
 }
+
+// When many attempts time out it is the pool that is short: they then wait their turn, instead of being read
+// twice (incident i88a816).
+func TestTimeOutsAreRationed(t *testing.T) {
+	w := newWorld(t, settings(), fleet())
+	var caps []Duration
+	for range 8 {
+		id, acts := w.arrive(safe)
+		a := find(acts, Send)
+		caps = append(caps, a.After)
+		w.do(Event{Kind: Ended, Request: id, Server: a.Server, Outcome: TimedOut, Spent: a.After})
+		w.do(Event{Kind: ClientGone, Request: id})
+	}
+	if first, last := caps[0], caps[len(caps)-1]; first >= 3*Second || last < 4*Second-ms {
+		t.Errorf("time-outs went from %v to %v", first, last)
+	}
+}
