--- a/decide/decide.go
+++ b/decide/decide.go
@@ -193,21 +193,18 @@
 	set      *Settings
 	rng      uint64
 	now      Time
-	born     Time
 	servers  map[ServerID]*server
 	order    []*server // by id, so that no decision hangs on map order
 	requests map[RequestID]*request
 	out      []Action
 	pace     float64 // ns to read one token
 	leastAim Duration
-	rate     [3]float64 // decayed own sends by stage, weighed by their work (1 is the mean)
-	rateAt   [3]Time
+	sends    [3]rate    // by stage, weighed by their work (1 is the mean)
 	meanWork [3]float64 // of one send at a stage
 	moved    [3]float64 // usual time to a first token by the distance of the move, ns
 	movedAt  [3]Time
 	again    float64 // time-outs that may still lead to another attempt
-	arrivals float64 // decayed own arrivals
-	arriveAt Time
+	arrivals rate
 	work     []classWork
 	tenants  []tenant
 }
@@ -223,7 +220,7 @@
 
 // New returns a router that knows nothing but its settings.
 func New(set *Settings, seed uint64, now Time) *Router {
-	r := &Router{set: set, rng: seed, now: now, born: now, pace: startPace,
+	r := &Router{set: set, rng: seed, now: now, pace: startPace,
 		servers: map[ServerID]*server{}, requests: map[RequestID]*request{}}
 	r.leastAim = math.MaxInt64
 	for _, c := range set.Classes {
@@ -282,7 +279,7 @@
 			r.servers[l.Server] = s
 			r.order = append(r.order, s)
 			sort.Slice(r.order, func(i, j int) bool { return r.order[i].id < r.order[j].id })
-			s.coldNext = r.now + r.coldGap(s, Reader|Writer, 1)
+			s.coldNext = r.now + r.coldGap(Reader|Writer, 1)
 		}
 		s.zone, s.cell, s.ready = l.Zone, l.Cell, l.Condition == Ready
 		if l.Kind < len(r.set.Kinds) {
@@ -292,7 +289,7 @@
 			// Restarted: empty, cold, and what it was blamed for is past.
 			s.since, s.share, s.sent, s.kept = l.Since, -1, 0, map[uint64]float64{}
 			s.bench, s.failing, s.answers = 0, 0, 0
-			s.coldNext = r.now + Time(r.random()*float64(r.coldGap(s, s.role, 1)))
+			s.coldNext = r.now + Time(r.random()*float64(r.coldGap(s.role, 1)))
 		}
 	}
 }
@@ -305,8 +302,7 @@
 	}
 	r.requests[q.id] = q
 	r.again = min(r.again+againPart, againMost)
-	r.arrivals = r.arrivals*decay(r.now-r.arriveAt, rateSpan) + 1
-	r.arriveAt = r.now
+	r.arrivals.add(r.now, 1)
 	w := &r.work[q.job.Class]
 	w.prompt += answerGain * (q.job.Prompt - w.prompt)
 	if r.random() < r.refusal(q) {
@@ -641,13 +637,7 @@
 // tokens after such moves take longer than after near ones: that is how a jam of links shows, and full
 // or slow writers at one place. It fades when no news comes, so that the way is tried again.
 func (r *Router) far(d int) float64 {
-	base := 0.0
-	switch d {
-	case sameZone:
-		base = farCell
-	case otherZone:
-		base = farZone
-	}
+	base := [...]float64{0, farCell, farZone}[d]
 	late := r.moved[d]/max(r.moved[sameCell], writeExpected) - 1
 	return base * (1 + max(0, late)*decay(r.now-r.movedAt[d], jamSpan))
 }
@@ -688,7 +678,7 @@
 		if r.now < s.coldNext {
 			return false
 		}
-		s.coldNext = r.now + r.coldGap(s, s.role, r.workOf(q, st)/max(r.meanWork[st], 1))
+		s.coldNext = r.now + r.coldGap(s.role, r.workOf(q, st)/max(r.meanWork[st], 1))
 	}
 	if st == reading && q.mayHold {
 		r.act(Action{Kind: Release, Request: q.id})
@@ -774,7 +764,7 @@
 // coldGap is the time to the next send to a cold server after one of the given work (1 is the mean).
 // The budget of a window is guessed from the work that a warm server of the role gets from this router;
 // a router that has not seen traffic yet sends nothing.
-func (r *Router) coldGap(s *server, role Role, work float64) Duration {
+func (r *Router) coldGap(role Role, work float64) Duration {
 	per := r.perServer(role)
 	window := float64(r.set.OverloadFor) / float64(Second)
 	budget := r.set.FallMultiple * r.set.StartCapacity * per * window * float64(r.set.Routers)
@@ -789,14 +779,8 @@
 	if role&Writer == 0 {
 		st = reading
 	}
-	n := 0.0
-	for _, s := range r.order {
-		if s.ready && !r.cold(s) && s.role&role != 0 {
-			n++
-		}
-	}
-	sum := r.rate[st] * decay(r.now-r.rateAt[st], rateSpan)
-	return sum / (float64(rateSpan) / float64(Second)) / max(n, 1)
+	warm := r.count(role, func(s *server) bool { return !r.cold(s) })
+	return r.sends[st].perSecond(r.now) / max(float64(warm), 1)
 }
 
 func (r *Router) addRate(st stage, work float64) {
@@ -804,8 +788,7 @@
 		r.meanWork[st] = work
 	}
 	r.meanWork[st] += mixGain * (work - r.meanWork[st])
-	r.rate[st] = r.rate[st]*decay(r.now-r.rateAt[st], rateSpan) + work/max(r.meanWork[st], 1)
-	r.rateAt[st] = r.now
+	r.sends[st].add(r.now, work/max(r.meanWork[st], 1))
 }
 
 // workOf is the mean work of a request's class at a stage.
@@ -897,26 +880,18 @@
 	if s.bench > 0 && r.now < s.until {
 		return
 	}
-	if !dead && s.bench == 0 && 2*(r.benched(s.role)+1) > r.inRole(s.role) {
+	sound := r.count(s.role, func(t *server) bool { return t.bench == 0 })
+	if !dead && s.bench == 0 && 2*(sound-1) < r.count(s.role, func(*server) bool { return true }) {
 		return // when half of a pool looks bad it is load, and leaving servers out makes it worse
 	}
 	s.bench = min(max(2*s.bench, firstBench), longestBench)
 	s.until = r.now + s.bench
 }
 
-// inRole counts the ready servers of a role, benched those of them that are benched.
-func (r *Router) inRole(role Role) (n int) {
+// count tells how many ready servers of a role are as wanted.
+func (r *Router) count(role Role, wanted func(*server) bool) (n int) {
 	for _, s := range r.order {
-		if s.ready && s.role&role != 0 {
-			n++
-		}
-	}
-	return n
-}
-
-func (r *Router) benched(role Role) (n int) {
-	for _, s := range r.order {
-		if s.ready && s.role&role != 0 && s.bench > 0 {
+		if s.ready && s.role&role != 0 && wanted(s) {
 			n++
 		}
 	}
@@ -942,7 +917,7 @@
 
 // probeEvery is how often a server can be probed for the points that probes may cost.
 func (r *Router) probeEvery() Duration {
-	arrivals := r.arrivals * decay(r.now-r.arriveAt, rateSpan) / (float64(rateSpan) / float64(Second))
+	arrivals := r.arrivals.perSecond(r.now)
 	if arrivals <= 0 {
 		return probeSlowest
 	}
@@ -988,17 +963,28 @@
 	share, role := readCap, Reader
 	if q.stage == writing {
 		share, role = writeCap, Writer
-		if r.set.Classes[q.job.Class].Repeat == Unsafe {
-			return max(left, 1)
-		}
 	}
-	if r.again < 1 {
+	if r.again < 1 || q.stage == writing && r.set.Classes[q.job.Class].Repeat == Unsafe {
 		return max(left, 1)
 	}
 	limit := Duration(max(share*float64(r.aim(q)), capTypical*r.usual(role, nil)*q.expect))
 	return max(min(limit, left), 1)
 }
 
+// rate counts what happens, older events less.
+type rate struct {
+	sum float64
+	at  Time
+}
+
+func (c *rate) add(now Time, n float64) {
+	c.sum, c.at = c.sum*decay(now-c.at, rateSpan)+n, now
+}
+
+func (c *rate) perSecond(now Time) float64 {
+	return c.sum * decay(now-c.at, rateSpan) / (float64(rateSpan) / float64(Second))
+}
+
 // decay is what is left of a weight after a time.
 func decay(t, span Duration) float64 { return math.Exp(-float64(t) / float64(span)) }
 
