--- a/decide/decide.go
+++ b/decide/decide.go
@@ -488,7 +488,10 @@
 				r.learnMove(distance(q, s), ev.Spent)
 			}
 		}
-		r.bad(s, ev.Outcome == ConnectFailed)
+		if q.stage != reading || ev.Outcome != Error {
+			// An error at a reader costs a moment and no effect; leaving the reader out costs its texts.
+			r.bad(s, ev.Outcome == ConnectFailed)
+		}
 	}
 }
 
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -657,3 +657,26 @@
 		t.Errorf("time-outs went from %v to %v", first, last)
 	}
 }
+
+// A reader that fails fast keeps its texts: the errors cost a moment (standard day big-2 of lahore-hall).
+// A writer that fails is left out.
+func TestErrorsCountAtWritersOnly(t *testing.T) {
+	w := newWorld(t, settings(), fleet())
+	id, acts := w.arrive(safe)
+	reader := w.r.servers[w.sent(acts)]
+	for range 5 {
+		w.end(id, 0, reader.id, Error)
+		w.do(Event{Kind: ClientGone, Request: id})
+		id, acts = w.arrive(safe)
+		if w.sent(acts) != reader.id {
+			t.Fatal("the home was left for errors")
+		}
+	}
+	for range 2 {
+		id, writer := w.read(unsafeClass)
+		w.end(id, 1, writer, Error)
+	}
+	if n := w.r.count(Writer, func(s *server) bool { return s.failing > 0 }); n == 0 {
+		t.Error("errors of writers are not counted")
+	}
+}
