--- a/decide/decide.go
+++ b/decide/decide.go
@@ -365,9 +365,7 @@
 	if reader == nil || writer == nil {
 		return 0 // sending will find out
 	}
-	fresh := reader.fresh(q)
-	wait := (r.recent(reader)*(reader.waiting+fresh+paceTokens) - fresh) * r.pace
-	wait += r.median(Writer, nil, r.recent) * writeExpected
+	wait := r.readWait(q, reader) + r.median(Writer, nil, r.recent)*writeExpected
 	excess := r.excess(q)
 	late := wait / (admitShare * float64(r.aim(q)))
 	if excess {
@@ -389,6 +387,12 @@
 	return max(chance, min(full, 1))
 }
 
+// readWait is how long a request should wait in a reader's queue, beyond its own bare read.
+func (r *Router) readWait(q *request, s *server) float64 {
+	fresh := s.fresh(q)
+	return (r.recent(s)*(s.waiting+fresh+paceTokens) - fresh) * r.pace
+}
+
 // recent is a server's answer time, faded once it is old: what is refused brings no news, and an old
 // bad time must not go on refusing for ever.
 func (r *Router) recent(s *server) float64 {
@@ -527,7 +531,8 @@
 			if s.role&Reader == 0 || !r.candidate(q, s, reading, strict) {
 				continue
 			}
-			if h := mix(q.key ^ mix(uint64(s.id))); s.waiting <= bound && (home == nil || h > best) {
+			room := s.waiting <= bound && r.readWait(q, s) <= admitShare*float64(r.aim(q))
+			if h := mix(q.key ^ mix(uint64(s.id))); room && (home == nil || h > best) {
 				home, best = s, h
 			}
 			if fewest == nil || s.waiting < fewest.waiting {
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -680,3 +680,19 @@
 		t.Error("errors of writers are not counted")
 	}
 }
+
+// A reader with little own work waiting but long answers is passed over before anything is refused
+// (standard day rough-2 of lahore-hall: one slow home had its requests refused while others were idle).
+func TestLongQueuesArePassedOver(t *testing.T) {
+	w := newWorld(t, settings(), fleet())
+	_, acts := w.arrive(safe)
+	home := w.r.servers[w.sent(acts)]
+	home.answer, home.answers, home.answered = 100, slowSamples, w.now
+	for range 20 {
+		_, acts := w.arrive(safe)
+		if a := find(acts, Send); a == nil || a.Server == home.id {
+			t.Fatalf("got %+v with an idle reader beside a slow home", acts)
+		}
+		w.r.servers[1].waiting, w.r.servers[2].waiting = 0, 0
+	}
+}
