--- a/decide/decide.go
+++ b/decide/decide.go
@@ -111,8 +111,6 @@
 	excessRoom  = 0.15
 	// answerGrowth: a stream holds its answer so far beside its booked prompt.
 	answerGrowth = 1.1
-	// maxFulls answers 'full' are enough to see that a third server will not do.
-	maxFulls = 2
 	// probePoints of the result may go into probes at the most (0.004 is 0.4 points in 100).
 	probePoints = 0.004
 	// probeFastest and probeSlowest bound the time between probes of one server.
@@ -183,7 +181,6 @@
 	runAt     Time    // when the first that may have run was sent
 	runOn     *server
 	tried     []*server
-	fulls     int
 	closed    bool
 	startedAt Time
 }
@@ -439,13 +436,10 @@
 		return
 	}
 	q.tried = append(q.tried, s)
-	if ev.Outcome == Full && !ev.NoState {
-		q.fulls++
-	}
 	switch {
 	case ev.Outcome == ReadDone:
 		r.write(q)
-	case ev.Outcome == Moot || q.fulls >= maxFulls || !r.worthAnother(q):
+	case ev.Outcome == Moot || !r.worthAnother(q):
 		r.giveUp(q)
 	case was == reading || ev.NoState:
 		q.state = nil
