--- a/decide/decide.go
+++ b/decide/decide.go
@@ -151,7 +151,8 @@
 	bench    Duration // 0: in good standing
 	until    Time     // with bench > 0: no trial before
 
-	coldNext Time // rule 4: nothing before
+	coldAt   Time    // rule 4: when it was last sent anything, or named first
+	coldWork float64 // the work of that
 	probing  bool
 	probeAt  Time
 }
@@ -276,7 +277,7 @@
 			r.servers[l.Server] = s
 			r.order = append(r.order, s)
 			sort.Slice(r.order, func(i, j int) bool { return r.order[i].id < r.order[j].id })
-			s.coldNext = r.now + r.coldGap(Reader|Writer, 1)
+			s.coldAt, s.coldWork = r.now, r.random()
 		}
 		s.zone, s.cell, s.ready = l.Zone, l.Cell, l.Condition == Ready
 		if l.Kind < len(r.set.Kinds) {
@@ -286,7 +287,7 @@
 			// Restarted: empty, cold, and what it was blamed for is past.
 			s.since, s.share, s.sent, s.kept = l.Since, -1, 0, map[uint64]float64{}
 			s.bench, s.failing, s.answers = 0, 0, 0
-			s.coldNext = r.now + Time(r.random()*float64(r.coldGap(s.role, 1)))
+			s.coldAt, s.coldWork = r.now, r.random() // not all routers at once
 		}
 	}
 }
@@ -655,7 +656,7 @@
 // candidate tells whether a server may be picked; strict leaves out suspects and those that this
 // request has already tried.
 func (r *Router) candidate(q *request, s *server, st stage, strict bool) bool {
-	if !s.ready || r.now < s.coldNext && r.cold(s) {
+	if !s.ready || r.spared(s) {
 		return false
 	}
 	if !strict {
@@ -676,12 +677,10 @@
 	if q.closed || q.out != nil || !s.ready || q.attempts >= r.set.MaxAttempts || !r.mayRepeat(q, s, st) {
 		return false
 	}
-	if r.cold(s) {
-		if r.now < s.coldNext {
-			return false
-		}
-		s.coldNext = r.now + r.coldGap(s.role, r.workOf(q, st)/max(r.meanWork[st], 1))
+	if r.spared(s) {
+		return false
 	}
+	s.coldAt, s.coldWork = r.now, r.workOf(q, st)/max(r.meanWork[st], 1)
 	if st == reading && q.mayHold {
 		r.act(Action{Kind: Release, Request: q.id})
 		q.mayHold = false
@@ -763,6 +762,11 @@
 // cold tells whether a server may still be warming up.
 func (r *Router) cold(s *server) bool { return s.since > 0 && r.now-s.since < r.set.ColdFor }
 
+// spared tells whether a cold server has to be left alone for now.
+func (r *Router) spared(s *server) bool {
+	return r.cold(s) && r.now-s.coldAt < r.coldGap(s.role, s.coldWork)
+}
+
 // coldGap is the time to the next send to a cold server after one of the given work (1 is the mean).
 // The budget of a window is guessed from the work that a warm server of the role gets from this router;
 // a router that has not seen traffic yet sends nothing.
@@ -975,16 +979,20 @@
 
 // rate counts what happens, older events less.
 type rate struct {
-	sum float64
-	at  Time
+	sum      float64
+	from, at Time
 }
 
 func (c *rate) add(now Time, n float64) {
+	if c.sum == 0 {
+		c.from = now
+	}
 	c.sum, c.at = c.sum*decay(now-c.at, rateSpan)+n, now
 }
 
 func (c *rate) perSecond(now Time) float64 {
-	return c.sum * decay(now-c.at, rateSpan) / (float64(rateSpan) / float64(Second))
+	seen := max(1-decay(now-c.from, rateSpan), 1/float64(rateSpan/Second)) // the part that was lived through
+	return c.sum * decay(now-c.at, rateSpan) / (seen * float64(rateSpan) / float64(Second))
 }
 
 // decay is what is left of a weight after a time.
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -660,3 +660,24 @@
 		w.r.servers[1].waiting, w.r.servers[2].waiting = 0, 0
 	}
 }
+
+// A router that starts while servers are cold sends to them as soon as it knows its traffic, not only when
+// they are warm (incident iac8fbb: it waited out a gap that was set when it knew of no traffic).
+func TestStartedRouterUsesColdServers(t *testing.T) {
+	list := fleet()
+	for i := range list {
+		if list[i].Server == 12 {
+			list[i].Since = 999 * Second
+		}
+	}
+	w := newWorld(t, settings(), list)
+	first := Time(0)
+	for range 100 {
+		if w.serve() == 12 && first == 0 {
+			first = w.now
+		}
+	}
+	if first == 0 || first-1000*Second > 3*Second {
+		t.Errorf("the cold writer was first used at %v s", float64(first)/1e9-1000)
+	}
+}
