--- a/decide/decide.go
+++ b/decide/decide.go
@@ -144,12 +144,13 @@
 	share     float64 // reported share of memory, negative while untold
 	kept      map[uint64]float64
 
-	answer   float64 // usual time of its answers, over what was expected
-	answers  int
-	answered Time // when the last came
-	failing  float64
-	bench    Duration // 0: in good standing
-	until    Time     // with bench > 0: no trial before
+	answer    float64 // usual time of its answers, over what was expected
+	answers   int
+	answered  Time // when the last came
+	overtaken Time // when the newest of the answered was sent
+	failing   float64
+	bench     Duration // 0: in good standing
+	until     Time     // with bench > 0: no trial before
 
 	coldAt   Time    // rule 4: when it was last sent anything, or named first
 	coldWork float64 // the work of that
@@ -183,6 +184,7 @@
 	runOn     *server
 	tried     []*server
 	closed    bool
+	sentAt    Time // when the attempt that is out was sent
 	startedAt Time
 }
 
@@ -406,7 +408,7 @@
 	}
 	r.sign(s)
 	s.pending--
-	r.good(s, float64(ev.Spent)/q.expect)
+	r.good(q, s, float64(ev.Spent)/q.expect)
 	r.learnMove(distance(q, s), ev.Spent)
 	q.stage, q.mayHold, q.state, q.startedAt = streaming, false, nil, r.now
 }
@@ -474,11 +476,14 @@
 		r.sign(s)
 	case ReadDone:
 		r.sign(s)
-		r.good(s, float64(ev.Spent)/q.expect)
+		r.good(q, s, float64(ev.Spent)/q.expect)
 		r.learnPace(float64(ev.Spent) / max(q.job.Prompt-ev.Kept, paceTokens))
 	case Full:
 		r.sign(s)
 	case Error, Reset, TimedOut, ConnectFailed:
+		if ev.Outcome == TimedOut && q.stage != streaming && q.sentAt < s.overtaken {
+			return // later ones were answered: not the server, this one or its answer was lost
+		}
 		if ev.Outcome == TimedOut && q.stage != streaming {
 			// At least so long: under load that all share, the usual time grows and time-outs with it.
 			s.learn(float64(ev.Spent)/q.expect, r.now)
@@ -686,6 +691,7 @@
 		q.mayHold = false
 	}
 	q.stage, q.out = st, s
+	q.sentAt = r.now
 	q.attempts++
 	if s.pending == 0 {
 		s.quietFrom = r.now
@@ -857,7 +863,8 @@
 }
 
 // good: a server has answered in so much time. A benched one is back if that is no longer slow.
-func (r *Router) good(s *server, spent float64) {
+func (r *Router) good(q *request, s *server, spent float64) {
+	s.overtaken = max(s.overtaken, q.sentAt)
 	s.failing *= 1 - failGain
 	usual := r.usual(s.role, s)
 	if s.bench > 0 {
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -681,3 +681,24 @@
 		t.Errorf("the cold writer was first used at %v s", float64(first)/1e9-1000)
 	}
 }
+
+// An attempt that later ones have overtaken is lost, which says nothing of the server and of its queue (incident
+// i9f567c: a fifth of all messages lost).
+func TestLossesAreNotSlowness(t *testing.T) {
+	w := newWorld(t, settings(), fleet())
+	for range 10 {
+		w.serve()
+	}
+	id, acts := w.arrive(safe)
+	s := w.r.servers[w.sent(acts)]
+	w.now += 10 * ms
+	w.serve() // the home answers a later one
+	before, again := s.answer, w.r.again
+	w.now += Second
+	if acts := w.do(Event{Kind: Ended, Request: id, Server: s.id, Outcome: TimedOut, Spent: Second}); find(acts, Send) == nil {
+		t.Errorf("not tried again: %v", kinds(acts))
+	}
+	if s.answer != before || w.r.again != again || s.failing > 0.01 {
+		t.Errorf("answer %v -> %v, time-outs left %v -> %v, failing %v", before, s.answer, again, w.r.again, s.failing)
+	}
+}
