--- a/decide/decide.go
+++ b/decide/decide.go
@@ -54,8 +54,6 @@
 	// the pool is short, not a server: then attempts wait their turn, or all would be done twice.
 	againPart = 0.03
 	againMost = 2.0
-	// lostShare of the aim an attempt is given at the least after later ones have overtaken it.
-	lostShare = 0.45
 	// capTypical keeps time-outs that many times over what is usual, so load alone causes none.
 	capTypical = 4.0
 	// quietTypical times the usual answer time without any sign while attempts wait makes a server
@@ -186,8 +184,6 @@
 	runOn     *server
 	tried     []*server
 	closed    bool
-	open      bool // in the router's open list
-	off       bool // called off as lost
 	sentAt    Time // when the attempt that is out was sent
 	startedAt Time
 }
@@ -200,7 +196,6 @@
 	servers  map[ServerID]*server
 	order    []*server // by id, so that no decision hangs on map order
 	requests map[RequestID]*request
-	open     []*request // those that wait for a first sign, oldest first
 	out      []Action
 	pace     float64 // ns to read one token
 	leastAim Duration
@@ -485,11 +480,8 @@
 		r.learnPace(float64(ev.Spent) / max(q.job.Prompt-ev.Kept, paceTokens))
 	case Full:
 		r.sign(s)
-	case Error, Reset, TimedOut, ConnectFailed, Cancelled:
-		if ev.Outcome == Cancelled && !q.off {
-			return // the client has left
-		}
-		if q.off || ev.Outcome == TimedOut && q.stage != streaming && q.sentAt < s.overtaken {
+	case Error, Reset, TimedOut, ConnectFailed:
+		if ev.Outcome == TimedOut && q.stage != streaming && q.sentAt < s.overtaken {
 			return // later ones were answered: not the server, this one or its answer was lost
 		}
 		if ev.Outcome == TimedOut && q.stage != streaming {
@@ -699,11 +691,7 @@
 		q.mayHold = false
 	}
 	q.stage, q.out = st, s
-	q.sentAt, q.off = r.now, false
-	if !q.open {
-		q.open = true
-		r.open = append(r.open, q)
-	}
+	q.sentAt = r.now
 	q.attempts++
 	if s.pending == 0 {
 		s.quietFrom = r.now
@@ -928,7 +916,6 @@
 // tick looks after what no event brings up.
 func (r *Router) tick() {
 	r.act(Action{Kind: WakeMe, After: tickEvery, Token: tickToken})
-	r.callOff()
 	if !r.set.Probing {
 		return
 	}
@@ -941,24 +928,6 @@
 	}
 }
 
-// callOff ends attempts that later ones have overtaken: they are lost, and there may be time for another.
-func (r *Router) callOff() {
-	open := r.open[:0]
-	for _, q := range r.open {
-		if q.open = q.out != nil && q.stage != streaming; !q.open {
-			continue
-		}
-		open = append(open, q)
-		once := q.stage == writing && r.set.Classes[q.job.Class].Repeat != Safe
-		if r.set.MayCancel && !once && !q.off && !q.closed && q.sentAt < q.out.overtaken &&
-			r.now-q.sentAt > Duration(lostShare*float64(r.aim(q))) {
-			q.off = true
-			r.act(Action{Kind: Cancel, Request: q.id, Attempt: q.attempts - 1})
-		}
-	}
-	r.open = open
-}
-
 // probeEvery is how often a server can be probed for the points that probes may cost.
 func (r *Router) probeEvery() Duration {
 	arrivals := r.arrivals.perSecond(r.now)
