--- a/decide/decide.go
+++ b/decide/decide.go
@@ -532,11 +532,7 @@
 				continue
 			}
 			room := s.waiting <= bound && r.readWait(q, s) <= admitShare*float64(r.aim(q))
-			h := mix(q.key^mix(uint64(s.id))) >> 1
-			if s.zone == r.set.Zone {
-				h |= 1 << 63
-			}
-			if room && (home == nil || h > best) {
+			if h := mix(q.key ^ mix(uint64(s.id))); room && (home == nil || h > best) {
 				home, best = s, h
 			}
 			if fewest == nil || s.waiting < fewest.waiting {
