--- a/decide/decide.go
+++ b/decide/decide.go
@@ -76,7 +76,6 @@
 	// firstBench and longestBench bound how long a suspect server is left out before a trial.
 	firstBench   = 1 * Second
 	longestBench = 8 * Second
-	moveYoung    = 2.0
 	// coldMargin of this router's share of a cold server's budget is used: routers are unequal and do
 	// not know of each other's sends.
 	coldMargin = 0.9
@@ -898,27 +897,10 @@
 	if !dead && s.bench == 0 && 2*(sound-1) < r.count(s.role, func(*server) bool { return true }) {
 		return // when half of a pool looks bad it is load, and leaving servers out makes it worse
 	}
-	if !dead && r.set.Resume {
-		r.moveAway(s)
-	}
 	s.bench = min(max(2*s.bench, firstBench), longestBench)
 	s.until = r.now + s.bench
 }
 
-// moveAway ends the young streams at a server so that they go on elsewhere.
-func (r *Router) moveAway(s *server) {
-	var young []RequestID
-	for id, q := range r.requests {
-		if q.out == s && q.stage == streaming && r.now-q.startedAt < Duration(moveYoung*float64(r.aim(q))) {
-			young = append(young, id)
-		}
-	}
-	sort.Slice(young, func(i, j int) bool { return young[i] < young[j] })
-	for _, id := range young {
-		r.act(Action{Kind: Move, Request: id})
-	}
-}
-
 // count tells how many ready servers of a role are as wanted.
 func (r *Router) count(role Role, wanted func(*server) bool) (n int) {
 	for _, s := range r.order {
