--- a/decide/decide.go
+++ b/decide/decide.go
@@ -54,8 +54,6 @@
 	// the pool is short, not a server: then attempts wait their turn, or all would be done twice.
 	againPart = 0.03
 	againMost = 2.0
-	fastPart = 0.1
-	fastTimes = 1.2
 	// capTypical keeps time-outs that many times over what is usual, so load alone causes none.
 	capTypical = 4.0
 	// quietTypical times the usual answer time without any sign while attempts wait makes a server
@@ -867,9 +865,6 @@
 // good: a server has answered in so much time. A benched one is back if that is no longer slow.
 func (r *Router) good(q *request, s *server, spent float64) {
 	s.overtaken = max(s.overtaken, q.sentAt)
-	if spent < fastTimes {
-		r.again = min(r.again+fastPart, againMost)
-	}
 	s.failing *= 1 - failGain
 	usual := r.usual(s.role, s)
 	if s.bench > 0 {
