--- a/decide/decide.go
+++ b/decide/decide.go
@@ -54,6 +54,8 @@
 	// the pool is short, not a server: then attempts wait their turn, or all would be done twice.
 	againPart = 0.03
 	againMost = 2.0
+	// calmTimes the expected, or less, is the usual answer time of a pool that is not short.
+	calmTimes = 4.0
 	// capTypical keeps time-outs that many times over what is usual, so load alone causes none.
 	capTypical = 4.0
 	// quietTypical times the usual answer time without any sign while attempts wait makes a server
@@ -481,8 +483,9 @@
 	case Full:
 		r.sign(s)
 	case Error, Reset, TimedOut, ConnectFailed:
-		if ev.Outcome == TimedOut && q.stage != streaming && q.sentAt < s.overtaken {
-			return // later ones were answered: not the server, this one or its answer was lost
+		if ev.Outcome == TimedOut && q.stage != streaming &&
+			(q.sentAt < s.overtaken || q.sentAt < s.quietFrom && r.usual(s.role, nil) < calmTimes) {
+			return // others were answered, and no queue is long: this one or its answer was lost
 		}
 		if ev.Outcome == TimedOut && q.stage != streaming {
 			// At least so long: under load that all share, the usual time grows and time-outs with it.
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -702,3 +702,32 @@
 		t.Errorf("answer %v -> %v, time-outs left %v -> %v, failing %v", before, s.answer, again, w.r.again, s.failing)
 	}
 }
+
+// In a calm pool a server that was heard since the send has lost the attempt, too, in a pool whose answers are slow
+// it has not (incident i041308: a tenth of all messages lost).
+func TestLossInACalmPool(t *testing.T) {
+	for _, tt := range []struct {
+		answer float64
+		lost   bool
+	}{{1, true}, {2 * calmTimes, false}} {
+		w := newWorld(t, settings(), fleet())
+		first, acts := w.arrive(safe)
+		s := w.r.servers[w.sent(acts)]
+		w.now += ms
+		second, acts := w.arrive(safe)
+		if w.sent(acts) != s.id {
+			t.Fatal("two homes for one text")
+		}
+		w.now += 10 * ms
+		w.do(Event{Kind: Ended, Request: first, Server: s.id, Outcome: ReadDone, Spent: 11 * ms, Kept: 800})
+		for _, o := range w.r.order {
+			o.answer, o.answers = tt.answer, slowSamples
+		}
+		again := w.r.again
+		w.now += Second
+		w.do(Event{Kind: Ended, Request: second, Server: s.id, Outcome: TimedOut, Spent: Second + 10*ms})
+		if lost := w.r.again == again; lost != tt.lost {
+			t.Errorf("usual time %v: taken for lost: %v", tt.answer, lost)
+		}
+	}
+}
