--- a/decide/decide.go
+++ b/decide/decide.go
@@ -126,8 +126,6 @@
 	thousand = 1000.0
 )
 
-const tickToken = 1
-
 // server is what this router knows of one server.
 type server struct {
 	id         ServerID
@@ -264,7 +262,7 @@
 // list takes in what discovery tells.
 func (r *Router) list(ev *Event) {
 	if ev.Kind == ListCached {
-		r.act(Action{Kind: WakeMe, After: tickEvery, Token: tickToken})
+		r.act(Action{Kind: WakeMe, After: tickEvery})
 		if r.set.AskMembership {
 			r.act(Action{Kind: Watch})
 		}
@@ -444,7 +442,8 @@
 	switch {
 	case ev.Outcome == ReadDone:
 		r.write(q)
-	case ev.Outcome == Moot || !r.worthAnother(q):
+	case ev.Outcome == Moot || float64(q.job.Deadline-r.now) <= r.usual(Writer, nil)*writeExpected:
+		// nothing more would be answered before the client leaves
 		r.giveUp(q)
 	case was == reading || ev.NoState:
 		q.state = nil
@@ -516,11 +515,6 @@
 	}
 }
 
-// worthAnother tells whether a further attempt can still be answered before the client gives up.
-func (r *Router) worthAnother(q *request) bool {
-	return float64(q.job.Deadline-r.now) > r.usual(Writer, nil)*writeExpected
-}
-
 // --- reader choice ---
 
 // pickReader walks the key's readers from its home on and takes the first whose own waiting tokens are
@@ -542,12 +536,12 @@
 				fewest = s
 			}
 		}
+		if home == nil {
+			home = fewest
+		}
 		if home != nil {
 			return home
 		}
-		if fewest != nil {
-			return fewest
-		}
 	}
 	return nil
 }
@@ -780,22 +774,17 @@
 // The budget of a window is guessed from the work that a warm server of the role gets from this router;
 // a router that has not seen traffic yet sends nothing.
 func (r *Router) coldGap(role Role, work float64) Duration {
-	per := r.perServer(role)
-	window := float64(r.set.OverloadFor) / float64(Second)
-	budget := r.set.FallMultiple * r.set.StartCapacity * per * window * float64(r.set.Routers)
-	budget = coldMargin * budget * budget / (budget + coldChance) / float64(r.set.Routers)
-	gap := work * window / max(budget, 1e-9)
-	return Duration(min(gap, float64(r.set.ColdFor)/float64(Second)) * float64(Second))
-}
-
-// perServer is the rate of sends of this router to one warm server of a role, in mean requests a second.
-func (r *Router) perServer(role Role) float64 {
 	st := writing
 	if role&Writer == 0 {
 		st = reading
 	}
 	warm := r.count(role, func(s *server) bool { return !r.cold(s) })
-	return r.sends[st].perSecond(r.now) / max(float64(warm), 1)
+	per := r.sends[st].perSecond(r.now) / max(float64(warm), 1)
+	window := float64(r.set.OverloadFor) / float64(Second)
+	budget := r.set.FallMultiple * r.set.StartCapacity * per * window * float64(r.set.Routers)
+	budget = coldMargin * budget * budget / (budget + coldChance) / float64(r.set.Routers)
+	gap := work * window / max(budget, 1e-9) * float64(Second)
+	return Duration(min(gap, float64(r.set.ColdFor)))
 }
 
 func (r *Router) addRate(st stage, work float64) {
@@ -918,7 +907,7 @@
 
 // tick looks after what no event brings up.
 func (r *Router) tick() {
-	r.act(Action{Kind: WakeMe, After: tickEvery, Token: tickToken})
+	r.act(Action{Kind: WakeMe, After: tickEvery})
 	if !r.set.Probing {
 		return
 	}
