--- a/decide/decide.go
+++ b/decide/decide.go
@@ -118,6 +118,8 @@
 	// probeFastest and probeSlowest bound the time between probes of one server.
 	probeFastest = 300 * Second / 1000
 	probeSlowest = 5 * Second
+	// watchChance at each tick spreads the routers' new askings for the list over about a second.
+	watchChance = 0.1
 	// keptEntries bounds what is remembered of a reader's kept texts.
 	keptEntries = 4096
 	// tickEvery is the time between looks at what no event brings up.
@@ -183,6 +185,7 @@
 	runAt     Time    // when the first that may have run was sent
 	runOn     *server
 	tried     []*server
+	alone     bool // no state is to be had: only a server that reads by itself will do
 	closed    bool
 	sentAt    Time // when the attempt that is out was sent
 	startedAt Time
@@ -190,23 +193,24 @@
 
 // Router decides for one router process.
 type Router struct {
-	set      *Settings
-	rng      uint64
-	now      Time
-	servers  map[ServerID]*server
-	order    []*server // by id, so that no decision hangs on map order
-	requests map[RequestID]*request
-	out      []Action
-	pace     float64 // ns to read one token
-	leastAim Duration
-	sends    [3]rate    // by stage, weighed by their work (1 is the mean)
-	meanWork [3]float64 // of one send at a stage
-	moved    [3]float64 // usual time to a first token by the distance of the move, ns
-	movedAt  [3]Time
-	again    float64 // time-outs that may still lead to another attempt
-	arrivals rate
-	work     []classWork
-	tenants  []tenant
+	set       *Settings
+	rng       uint64
+	now       Time
+	servers   map[ServerID]*server
+	order     []*server // by id, so that no decision hangs on map order
+	requests  map[RequestID]*request
+	out       []Action
+	pace      float64 // ns to read one token
+	leastAim  Duration
+	sends     [3]rate    // by stage, weighed by their work (1 is the mean)
+	meanWork  [3]float64 // of one send at a stage
+	moved     [3]float64 // usual time to a first token by the distance of the move, ns
+	movedAt   [3]Time
+	again     float64 // time-outs that may still lead to another attempt
+	arrivals  rate
+	work      []classWork
+	tenants   []tenant
+	unwatched bool // an asking for the list has failed
 }
 
 // tenant is what is left of this router's part of a tenant's share.
@@ -239,7 +243,7 @@
 	case ListChanged, ListFull, ListCached:
 		r.list(ev)
 	case ListFailed:
-		r.act(Action{Kind: Watch})
+		r.unwatched = true
 	case Arrived:
 		r.arrive(ev)
 	case FirstToken:
@@ -343,10 +347,11 @@
 	return answerGrowth * booked * float64(r.set.Routers) / max(memory, 1)
 }
 
-// read sends a request to a reader, or gives it up.
+// read sends a request to a reader; without any, to a writer that reads by itself.
 func (r *Router) read(q *request) {
 	if s := r.pickReader(q); s == nil || !r.send(q, s, reading) {
-		r.giveUp(q)
+		q.alone = true
+		r.write(q)
 	}
 }
 
@@ -406,7 +411,7 @@
 	if s == nil || q == nil || q.out != s || q.stage != writing {
 		return
 	}
-	r.sign(s)
+	s.quietFrom = r.now // it has been heard
 	s.pending--
 	r.good(q, s, float64(ev.Spent)/q.expect)
 	r.learnMove(distance(q, s), ev.Spent)
@@ -427,7 +432,7 @@
 	was := q.stage
 	q.out = nil
 	if was == reading && ev.Outcome == ReadDone {
-		q.state, q.mayHold = s, true
+		q.state, q.mayHold, q.alone = s, true, false
 		s.keep(q.key, q.job.Prefix)
 		s.keep(q.job.Session, q.job.Prompt)
 	}
@@ -474,13 +479,13 @@
 	}
 	switch ev.Outcome {
 	case Served:
-		r.sign(s)
+		s.quietFrom = r.now
 	case ReadDone:
-		r.sign(s)
+		s.quietFrom = r.now
 		r.good(q, s, float64(ev.Spent)/q.expect)
 		r.learnPace(float64(ev.Spent) / max(q.job.Prompt-ev.Kept, paceTokens))
 	case Full:
-		r.sign(s)
+		s.quietFrom = r.now
 	case Error, Reset, TimedOut, ConnectFailed:
 		if ev.Outcome == TimedOut && q.stage != streaming &&
 			(q.sentAt < s.overtaken || q.sentAt < s.quietFrom && r.usual(s.role, nil) < calmTimes) {
@@ -525,7 +530,7 @@
 		var home, fewest *server
 		var best uint64
 		for _, s := range r.order {
-			if s.role&Reader == 0 || !r.candidate(q, s, reading, strict) {
+			if s.role != Reader || !r.candidate(q, s, reading, strict) {
 				continue
 			}
 			room := s.waiting <= bound && r.readWait(q, s) <= admitShare*float64(r.aim(q))
@@ -620,22 +625,15 @@
 	return max(0, max(0, s.share)+s.sent/s.memory) + tokens/s.memory
 }
 
-// The distances that a state may have to go.
-const (
-	sameCell = iota
-	sameZone
-	otherZone
-)
-
-// distance tells how far a writer is from where the state of a request waits.
+// distance tells how far a state has to go to a writer: 0 within its cell, 1 within its zone, 2 to another.
 func distance(q *request, s *server) int {
 	switch {
 	case q.state == nil || q.state.cell == s.cell:
-		return sameCell
+		return 0
 	case q.state.zone == s.zone:
-		return sameZone
+		return 1
 	}
-	return otherZone
+	return 2
 }
 
 // far is the handicap, in streams, of a writer to which the state must cross a link. It grows as first
@@ -643,7 +641,7 @@
 // or slow writers at one place. It fades when no news comes, so that the way is tried again.
 func (r *Router) far(d int) float64 {
 	base := [...]float64{0, farCell, farZone}[d]
-	late := r.moved[d]/max(r.moved[sameCell], writeExpected) - 1
+	late := r.moved[d]/max(r.moved[0], writeExpected) - 1
 	return base * (1 + max(0, late)*decay(r.now-r.movedAt[d], jamSpan))
 }
 
@@ -661,6 +659,9 @@
 	if !s.ready || r.spared(s) {
 		return false
 	}
+	if st == writing && q.alone && s.role != Both && !r.set.WritersRead {
+		return false // nothing to fetch, and it can't read
+	}
 	if !strict {
 		return true
 	}
@@ -676,7 +677,7 @@
 // send is the only way to an attempt. It keeps the rules 1 (nothing after the end, one attempt out at
 // a time), 2 (no repeat of what may have run), 3 (no draining server) and 4 (the cold budget).
 func (r *Router) send(q *request, s *server, st stage) bool {
-	if q.closed || q.out != nil || !s.ready || q.attempts >= r.set.MaxAttempts || !r.mayRepeat(q, s, st) {
+	if q.closed || q.out != nil || !s.ready || q.attempts >= r.set.MaxAttempts || !r.mayRepeat(q, s) {
 		return false
 	}
 	if r.spared(s) {
@@ -712,8 +713,9 @@
 	return true
 }
 
-// mayRepeat is rule 2 for a send. A reader's work is no effect.
-func (r *Router) mayRepeat(q *request, s *server, st stage) bool {
+// mayRepeat is rule 2 for a send, to a reader too: once an attempt at a writer may have run, only the group
+// that drops its repeats may be sent anything.
+func (r *Router) mayRepeat(q *request, s *server) bool {
 	c := &r.set.Classes[q.job.Class]
 	if !q.mayRun || c.Repeat == Safe {
 		return true
@@ -721,9 +723,6 @@
 	if c.Repeat == Unsafe || r.now-q.runAt >= c.Window {
 		return false
 	}
-	if st == reading {
-		return true
-	}
 	return c.Scope == ScopeAll || c.Scope == ScopeZone && q.runOn.zone == s.zone ||
 		c.Scope == ScopeCell && q.runOn.cell == s.cell
 }
@@ -841,9 +840,6 @@
 	return times[len(times)/2]
 }
 
-// sign: a server has been heard.
-func (r *Router) sign(s *server) { s.quietFrom = r.now }
-
 // learn takes in an answer time.
 func (s *server) learn(spent float64, now Time) {
 	if s.answers == 0 {
@@ -908,6 +904,10 @@
 // tick looks after what no event brings up.
 func (r *Router) tick() {
 	r.act(Action{Kind: WakeMe, After: tickEvery})
+	if r.unwatched && r.random() < watchChance {
+		r.unwatched = false
+		r.act(Action{Kind: Watch})
+	}
 	if !r.set.Probing {
 		return
 	}
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -15,6 +15,13 @@
 
 const ms = Second / 1000
 
+// The distances of a move.
+const (
+	sameCell = iota
+	sameZone
+	otherZone
+)
+
 // settings has one class of each kind of repeat, a reader kind 0 and a writer kind 1.
 func settings() *Settings {
 	class := func(rep Repeat, scope Scope) Class {
@@ -731,3 +738,62 @@
 		}
 	}
 }
+
+// Where no reader is left, a mixed server reads by itself, as an attempt that may run (rule 2), and a writer is
+// not sent what it can't read.
+func TestMixedServersReadAlone(t *testing.T) {
+	set := settings()
+	set.Kinds = append(set.Kinds, Kind{Role: Both, Memory: 150e3})
+	list := append(fleet()[2:], Listing{Server: 21, Kind: 2, Condition: Ready},
+		Listing{Server: 22, Kind: 2, Condition: Ready})
+	for _, tt := range []struct {
+		class int
+		want  ActionKind
+	}{{safe, Send}, {unsafeClass, Fail}} {
+		w := newWorld(t, set, list)
+		id, acts := w.arrive(tt.class)
+		s := w.sent(acts)
+		if s != 21 && s != 22 {
+			t.Fatalf("sent to %d", s)
+		}
+		if acts := w.end(id, 0, s, Error); find(acts, tt.want) == nil {
+			t.Errorf("class %d: got %v", tt.class, kinds(acts))
+		}
+	}
+}
+
+// Rule 2: after a keyed attempt that may have run, not even a reader outside the group is sent the request.
+func TestKeyedIsNotReadOutsideItsGroup(t *testing.T) {
+	list := fleet()
+	list[0].Zone, list[1].Zone = 1, 1 // both readers are in the other zone than the first writers
+	w := newWorld(t, settings(), list)
+	id, acts := w.arrive(keyedZone)
+	reader := w.sent(acts)
+	writer := w.sent(w.end(id, 0, reader, ReadDone))
+	w.now += ms
+	w.do(Event{Kind: ListChanged, Servers: []Listing{{Server: reader, Zone: 1}}}) // its state is gone
+	acts = w.do(Event{Kind: Ended, Request: id, Attempt: 1, Server: writer, Outcome: Reset})
+	if a := find(acts, Send); a != nil && w.r.servers[a.Server].zone != w.r.servers[writer].zone {
+		t.Errorf("from writer %d sent on to %d", writer, a.Server)
+	}
+}
+
+// A failed asking for the list is asked again, but not in the same breath.
+func TestFailedListIsAskedAgain(t *testing.T) {
+	set := settings()
+	set.AskMembership = true
+	w := newWorld(t, set, fleet())
+	if acts := w.do(Event{Kind: ListFailed}); find(acts, Watch) != nil {
+		t.Error("asked again at once")
+	}
+	asked := 0
+	for range 200 {
+		w.now += tickEvery
+		if find(w.do(Event{Kind: Timer}), Watch) != nil {
+			asked++
+		}
+	}
+	if asked != 1 {
+		t.Errorf("asked %d times", asked)
+	}
+}
