--- a/decide/decide.go
+++ b/decide/decide.go
@@ -3,16 +3,16 @@
 // The interface - settings, events, actions - is in api.go. Map of this file:
 //
 //	constants           every tuned value, with its reason
-//	state               Router, server, request
+//	state               server, request, Router
 //	Handle              the one event handler
 //	list                what discovery tells
-//	arrivals, steps     read, then write, then done: the ordinary path of a request
+//	arrive ... ended    the path of a request: refused or read, written, streamed, done
 //	reader choice       prefix home, spill, fewest waiting
-//	writer choice       fit, fewest own streams, lowest booked cost, smallest footprint
-//	guards              send and answer: the only ways to an attempt and to a final answer; they
-//	                    keep the rules 1 to 4; closing a request keeps rule 5
+//	writer choice       fit, fewest own streams, lowest booked cost, smallest footprint; distances
+//	guards              send and giveUp, the only ways to an attempt and to an answer of this router's
+//	                    own, keep the rules 1 to 4; close keeps rule 5
 //	cold servers        the budget of rule 4
-//	health              symptoms, letting go, the way back in
+//	health              symptoms, leaving out, the way back in
 //	probes              paced by their price
 //	small helpers
 
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -797,3 +797,51 @@
 		t.Errorf("asked %d times", asked)
 	}
 }
+
+// Rules 1, 2 and 5 over every class, place, outcome and time: either one send or one answer follows, as the class
+// allows, and an answer leaves nothing held.
+func TestEveryOutcomeOfEveryClass(t *testing.T) {
+	for class := safe; class <= keyedCell; class++ {
+		for o := ReadDone; o <= Moot; o++ { // Served always ends a request
+			for _, late := range []Duration{ms, settings().Classes[0].Window + ms, 4 * Second} {
+				for _, atWriter := range []bool{false, true} {
+					if atWriter && o == ReadDone {
+						continue
+					}
+					w := newWorld(t, settings(), fleet())
+					id, acts := w.arrive(class)
+					s := w.sent(acts)
+					attempt := 0
+					if atWriter {
+						s, attempt = w.sent(w.end(id, 0, s, ReadDone)), 1
+					}
+					w.now += late
+					acts = w.do(Event{Kind: Ended, Request: id, Attempt: attempt, Server: s, Outcome: o, Spent: late})
+					send, refuse, fail := find(acts, Send), find(acts, Refuse), find(acts, Fail)
+					n := 0
+					for _, a := range []*Action{send, refuse, fail} {
+						if a != nil {
+							n++
+						}
+					}
+					if n != 1 {
+						t.Fatalf("class %d, outcome %d, writer %v, after %v: %v", class, o, atWriter, late, kinds(acts))
+					}
+					ran := atWriter && !provenUnrun(o)
+					rep, scope := w.r.set.Classes[class].Repeat, w.r.set.Classes[class].Scope
+					switch {
+					case ran && rep == Unsafe && fail == nil,
+						ran && rep == Keyed && send != nil && late > w.r.set.Classes[class].Window,
+						ran && rep == Keyed && refuse != nil && scope != ScopeAll:
+						t.Errorf("class %d, outcome %d after %v: %v breaks rule 2", class, o, late, kinds(acts))
+					case ran && rep == Keyed && send != nil && scope == ScopeZone &&
+						w.r.servers[send.Server].zone != w.r.servers[s].zone:
+						t.Errorf("class %d: sent out of its zone", class)
+					case send == nil && (atWriter || o == ReadDone) && find(acts, Release) == nil:
+						t.Errorf("class %d, outcome %d: answered without a release", class, o)
+					}
+				}
+			}
+		}
+	}
+}
