--- a/decide/decide.go
+++ b/decide/decide.go
@@ -114,10 +114,11 @@
 	// answerGrowth: a stream holds its answer so far beside its booked prompt.
 	answerGrowth = 1.1
 	// probePoints of the result may go into probes at the most (0.004 is 0.4 points in 100).
-	probePoints = 0.004
-	// probeFastest and probeSlowest bound the time between probes of one server.
+	probePoints = 0.001
+	// mostProbes a request may earn, however cheap they are.
+	mostProbes = 20.0
+	// probeFastest is the least time between probes of one server.
 	probeFastest = 300 * Second / 1000
-	probeSlowest = 5 * Second
 	// watchChance at each tick spreads the routers' new askings for the list over about a second.
 	watchChance = 0.1
 	// keptEntries bounds what is remembered of a reader's kept texts.
@@ -157,7 +158,7 @@
 	coldAt   Time    // rule 4: when it was last sent anything, or named first
 	coldWork float64 // the work of that
 	probing  bool
-	probeAt  Time
+	probedAt Time
 }
 
 type stage uint8
@@ -206,8 +207,8 @@
 	meanWork  [3]float64 // of one send at a stage
 	moved     [3]float64 // usual time to a first token by the distance of the move, ns
 	movedAt   [3]Time
+	probes    float64 // that may still be sent
 	again     float64 // time-outs that may still lead to another attempt
-	arrivals  rate
 	work      []classWork
 	tenants   []tenant
 	unwatched bool // an asking for the list has failed
@@ -284,6 +285,7 @@
 			r.order = append(r.order, s)
 			sort.Slice(r.order, func(i, j int) bool { return r.order[i].id < r.order[j].id })
 			s.coldAt, s.coldWork = r.now, r.random()
+			s.probedAt = r.now - Duration(r.random()*float64(Second)) // in no common order
 		}
 		s.zone, s.cell, s.ready = l.Zone, l.Cell, l.Condition == Ready
 		if l.Kind < len(r.set.Kinds) {
@@ -306,7 +308,7 @@
 	}
 	r.requests[q.id] = q
 	r.again = min(r.again+againPart, againMost)
-	r.arrivals.add(r.now, 1)
+	r.earnProbes()
 	w := &r.work[q.job.Class]
 	w.prompt += answerGain * (q.job.Prompt - w.prompt)
 	if r.random() < r.refusal(q) {
@@ -911,23 +913,25 @@
 	if !r.set.Probing {
 		return
 	}
-	every := r.probeEvery()
-	for _, s := range r.order {
-		if s.ready && !s.probing && r.now >= s.probeAt {
-			s.probing, s.probeAt = true, r.now+every
-			r.act(Action{Kind: Probe, Server: s.id})
+	for ; r.probes >= 1; r.probes-- {
+		var next *server
+		for _, s := range r.order {
+			if s.ready && !s.probing && (next == nil || s.probedAt < next.probedAt) {
+				next = s
+			}
 		}
+		if next == nil || r.now-next.probedAt < probeFastest {
+			return
+		}
+		next.probing, next.probedAt = true, r.now
+		r.act(Action{Kind: Probe, Server: next.id})
 	}
 }
 
-// probeEvery is how often a server can be probed for the points that probes may cost.
-func (r *Router) probeEvery() Duration {
-	arrivals := r.arrivals.perSecond(r.now)
-	if arrivals <= 0 {
-		return probeSlowest
-	}
-	every := r.set.ProbeFee * float64(len(r.order)) / (probePoints * arrivals)
-	return Duration(min(max(every*float64(Second), float64(probeFastest)), float64(probeSlowest)))
+// earnProbes lets a request pay for the probes that it may cost. Paced by requests they keep to their
+// price however many routers share the traffic and however many servers there are.
+func (r *Router) earnProbes() {
+	r.probes = min(r.probes+probePoints/max(r.set.ProbeFee, probePoints/mostProbes), float64(len(r.order)))
 }
 
 func (r *Router) probed(ev *Event) {
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -845,3 +845,31 @@
 		}
 	}
 }
+
+// Probes are earned by requests: with hundreds of routers over a large fleet their price must not grow.
+func TestProbesAreEarned(t *testing.T) {
+	set := settings()
+	set.Routers, set.Probing, set.ProbeFee = 200, true, 0.005
+	list := []Listing{}
+	for id := ServerID(1); id <= 60; id++ {
+		list = append(list, Listing{Server: id, Kind: int(id) % 2, Condition: Ready})
+	}
+	w := newWorld(t, set, list)
+	probes, requests := 0, 0
+	for i := 0; i < 600; i++ { // a minute
+		w.now += 100 * ms
+		if i%20 == 0 {
+			w.arrive(safe)
+			requests++
+		}
+		for _, a := range w.do(Event{Kind: Timer}) {
+			if a.Kind == Probe {
+				probes++
+				w.do(Event{Kind: Probed, Server: a.Server, Outcome: Served})
+			}
+		}
+	}
+	if cost := float64(probes) * set.ProbeFee / float64(requests); probes == 0 || cost > 1.2*probePoints {
+		t.Errorf("%d probes for %d requests cost %.4f, allowed %.4f", probes, requests, cost, probePoints)
+	}
+}
