--- a/decide/decide.go
+++ b/decide/decide.go
@@ -203,7 +203,7 @@
 	out       []Action
 	pace      float64 // ns to read one token
 	leastAim  Duration
-	sends     [3]rate    // by stage, weighed by their work (1 is the mean)
+	dones     [3]rate    // by stage, weighed by their work (1 is the mean)
 	meanWork  [3]float64 // of one send at a stage
 	moved     [3]float64 // usual time to a first token by the distance of the move, ns
 	movedAt   [3]Time
@@ -708,9 +708,6 @@
 		s.sent += q.tokens
 		q.expect = writeExpected
 	}
-	if !r.cold(s) {
-		r.addRate(st, r.workOf(q, st))
-	}
 	r.act(Action{Kind: Send, Request: q.id, Server: s.id, After: r.capFor(q)})
 	return true
 }
@@ -772,15 +769,16 @@
 }
 
 // coldGap is the time to the next send to a cold server after one of the given work (1 is the mean).
-// The budget of a window is guessed from the work that a warm server of the role gets from this router;
-// a router that has not seen traffic yet sends nothing.
+// The budget of a window is guessed from the work that a warm server of the role does for this router: what
+// fails there is no capacity, and in a collapse most sends fail. A router that has not seen answers yet
+// sends nothing.
 func (r *Router) coldGap(role Role, work float64) Duration {
 	st := writing
 	if role&Writer == 0 {
 		st = reading
 	}
 	warm := r.count(role, func(s *server) bool { return !r.cold(s) })
-	per := r.sends[st].perSecond(r.now) / max(float64(warm), 1)
+	per := r.dones[st].perSecond(r.now) / max(float64(warm), 1)
 	window := float64(r.set.OverloadFor) / float64(Second)
 	budget := r.set.FallMultiple * r.set.StartCapacity * per * window * float64(r.set.Routers)
 	budget = coldMargin * budget * budget / (budget + coldChance) / float64(r.set.Routers)
@@ -793,7 +791,7 @@
 		r.meanWork[st] = work
 	}
 	r.meanWork[st] += mixGain * (work - r.meanWork[st])
-	r.sends[st].add(r.now, work/max(r.meanWork[st], 1))
+	r.dones[st].add(r.now, work/max(r.meanWork[st], 1))
 }
 
 // workOf is the mean work of a request's class at a stage.
@@ -855,6 +853,9 @@
 // good: a server has answered in so much time. A benched one is back if that is no longer slow.
 func (r *Router) good(q *request, s *server, spent float64) {
 	s.overtaken = max(s.overtaken, q.sentAt)
+	if !r.cold(s) {
+		r.addRate(q.stage, r.workOf(q, q.stage))
+	}
 	s.failing *= 1 - failGain
 	usual := r.usual(s.role, s)
 	if s.bench > 0 {
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -873,3 +873,19 @@
 		t.Errorf("%d probes for %d requests cost %.4f, allowed %.4f", probes, requests, cost, probePoints)
 	}
 }
+
+// In a collapse most sends fail: they must not pass for capacity when a cold server's budget is guessed.
+func TestFailedSendsAreNoCapacity(t *testing.T) {
+	gap := func(o Outcome) Duration {
+		w := newWorld(t, settings(), fleet())
+		for i := 0; i < 50; i++ {
+			id, acts := w.arrive(safe)
+			w.end(id, 0, w.sent(acts), o)
+			w.do(Event{Kind: ClientGone, Request: id})
+		}
+		return w.r.coldGap(Reader, 1)
+	}
+	if done, failed := gap(ReadDone), gap(Full); done >= failed || failed != settings().ColdFor {
+		t.Errorf("gap after reads %d, after failures %d: failures must not open the budget", done, failed)
+	}
+}
