--- a/decide/decide.go
+++ b/decide/decide.go
@@ -23,43 +23,42 @@
 
 // Tuned values.
 const (
-	// fitFraction of its memory may a writer hold, prompts booked since its report included. Below 1,
-	// since answers grow after their prompts are booked and other routers book unseen.
+	// fitFraction of its memory may a writer hold: answers grow later and other routers book unseen.
 	fitFraction = 0.9
 	// streamWeight is W of D + W*N. Own streams are compared first, so N never differs here.
 	streamWeight = 0.0
-	// spillShare of the least aim is how long the tokens waiting at a reader may take to read before the
-	// next reader is tried, taking the other routers to have as many there as this one.
+	// spillShare of the least aim may the tokens waiting at a reader take, if all routers have as many there.
 	spillShare = 0.4
 	// startPace is the time to read a token assumed before any read has been seen.
 	startPace = 100e3
-	// paceDown weighs a faster read in the pace, paceUp is the step after a slower one: it follows the
-	// fast reads, which met no queue. A mean would grow with load, shrink the spill bound, and so
-	// scatter the texts just when reading them anew is dearest.
+	// paceDown weighs a faster read in the pace, paceUp is the step after a slower one: fast reads met no
+	// queue. A mean would shrink the spill bound under load and scatter the texts when that is dearest.
 	paceDown = 0.2
 	paceUp   = 0.002
 	// paceTokens is the least that a read is taken for; under it the fixed time of a read prevails.
 	paceTokens = 256.0
-	// farCell and farZone are how many own streams more a writer of the reader's cell, or zone, may have
-	// before the state is moved out: a move crosses one shared link and has a price.
+	// farCell and farZone are how many own streams more a writer of the reader's cell, or zone, may have:
+	// a move out crosses one shared link and has a price.
 	farCell = 1.0
 	farZone = 2.0
+	// fewRouters is up to how many routers that holds: of more, each has fewer streams, and the same handicap
+	// would send all states of a cell rich in readers to its few writers.
+	fewRouters = 4.0
 	// jamSpan is how long a jam of the links is remembered when no state is moved there.
 	jamSpan = 5 * Second
-	// readCap and writeCap are the share of the aim after which an attempt is given up for another
-	// server: half leaves one more try within the aim.
+	// readCap and writeCap of the aim may an attempt take: half leaves one more try within the aim.
 	readCap  = 0.5
 	writeCap = 0.6
 	// againPart of the requests, and againMost at once, may be cut off for another attempt. When more are,
-	// the pool is short, not a server: then attempts wait their turn, or all would be done twice.
+	// the pool is short, and all would be done twice.
 	againPart = 0.03
 	againMost = 2.0
 	// calmTimes the expected, or less, is the usual answer time of a pool that is not short.
 	calmTimes = 4.0
 	// capTypical keeps time-outs that many times over what is usual, so load alone causes none.
 	capTypical = 4.0
-	// quietTypical times the usual answer time without any sign while attempts wait makes a server
-	// suspect before a time-out; quietFloor, as a share of the least aim, keeps it above noise.
+	// quietTypical times the usual answer time without any sign, and quietFloor of the least aim, make a
+	// server with waiting attempts suspect.
 	quietTypical = 4.0
 	quietFloor   = 0.25
 	// slowTimes the median answer time of its peers, each over what was expected, makes it suspect.
@@ -78,8 +77,7 @@
 	// firstBench and longestBench bound how long a suspect server is left out before a trial.
 	firstBench   = 1 * Second
 	longestBench = 8 * Second
-	// coldMargin of this router's share of a cold server's budget is used: routers are unequal and do
-	// not know of each other's sends.
+	// coldMargin of this router's share of a cold server's budget is used: routers are unequal.
 	coldMargin = 0.9
 	// coldChance sends are held back from the budget in proportion to its smallness (b*b/(b+coldChance)).
 	coldChance = 1.0
@@ -87,19 +85,16 @@
 	mixGain = 0.05
 	// rateSpan is the memory of the work rates that the cold budget is guessed from.
 	rateSpan = 5 * Second
-	// admitShare of the aim may the predicted wait in queues reach before requests are refused at their
-	// arrival, the more the longer it is; admitPower makes the refusing steep. Some are always let in, so
-	// that the end of the trouble is seen. A prompt's own bare read is not held against it, but what its
-	// tokens take longer under load is: shedding the long reads clears a pool of readers soonest.
+	// admitShare of the aim may the predicted wait reach before requests are refused at their arrival, the
+	// steeper the greater admitPower is. Some are always let in, so that the end of the trouble is seen. A
+	// prompt's bare read is not held against it, but what its tokens take longer under load is.
 	admitShare = 0.45
 	admitPower = 4.0
-	// fadeSpan is how long an answer time counts whole for refusals when no newer one comes; then it fades
-	// as fast.
+	// fadeSpan is how long an answer time counts whole when no newer one comes; then it fades as fast.
 	fadeSpan = 2 * Second
-	// fullLow and fullHigh: the smallest footprint that any writer would have after this request, from
-	// which none and all of the requests of the least worth are refused. Past that, writers put their
-	// newest streams back and read them anew, which costs all streams. Classes of more worth, up to
-	// fullSpare later.
+	// fullLow and fullHigh: the smallest footprint of any writer from which none and all of the requests of
+	// the least worth are refused: full writers put streams back and read them anew. Classes of more worth
+	// go up to fullSpare later.
 	fullLow   = 0.9
 	fullHigh  = 0.98
 	fullSpare = 0.04
@@ -364,9 +359,9 @@
 	}
 }
 
-// refusal is how likely a request is to be refused at its arrival. It guards against every overload,
-// whatever its cause: what would come late takes the place of what could come in time, and writers
-// pushed over their memory do work twice. It may harm when a few servers alone make the usual times.
+// refusal is how likely a request is to be refused at its arrival. It guards against every overload: what
+// would come late takes the place of what could come in time, and writers pushed over their memory do work
+// twice. It may harm when a few servers alone make the usual times.
 func (r *Router) refusal(q *request) float64 {
 	reader, writer := r.pickReader(q), r.pickWriter(q)
 	if reader == nil || writer == nil {
@@ -642,7 +637,7 @@
 // tokens after such moves take longer than after near ones: that is how a jam of links shows, and full
 // or slow writers at one place. It fades when no news comes, so that the way is tried again.
 func (r *Router) far(d int) float64 {
-	base := [...]float64{0, farCell, farZone}[d]
+	base := [...]float64{0, farCell, farZone}[d] * min(1, fewRouters/float64(r.set.Routers))
 	late := r.moved[d]/max(r.moved[0], writeExpected) - 1
 	return base * (1 + max(0, late)*decay(r.now-r.movedAt[d], jamSpan))
 }
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -889,3 +889,19 @@
 		t.Errorf("gap after reads %d, after failures %d: failures must not open the budget", done, failed)
 	}
 }
+
+// With many routers hardly any has two streams at one writer: a far one must not wait for that.
+func TestFarWritersAreUsedByManyRouters(t *testing.T) {
+	set := settings()
+	set.Routers = 100
+	w := newWorld(t, set, fleet())
+	far := 0
+	for i := 0; i < 3; i++ {
+		if _, s := w.read(safe); s == 13 {
+			far++
+		}
+	}
+	if far != 1 {
+		t.Errorf("%d of three streams went to the far writer, one expected", far)
+	}
+}
