--- a/decide/decide.go
+++ b/decide/decide.go
@@ -24,67 +24,54 @@
 // Tuned values.
 const (
 	// fitFraction of its memory may a writer hold: answers grow later and other routers book unseen.
-	fitFraction = 0.9
-	// streamWeight is W of D + W*N. Own streams are compared first, so N never differs here.
-	streamWeight = 0.0
+	fitFraction  = 0.9
+	streamWeight = 0.0 // W of D + W*N; own streams are compared first, so N never differs here
 	// spillShare of the least aim may the tokens waiting at a reader take, if all routers have as many there.
 	spillShare = 0.4
-	// startPace is the time to read a token assumed before any read has been seen.
-	startPace = 100e3
-	// paceDown weighs a faster read in the pace, paceUp is the step after a slower one: fast reads met no
-	// queue. A mean would shrink the spill bound under load and scatter the texts when that is dearest.
-	paceDown = 0.2
-	paceUp   = 0.002
-	// paceTokens is the least that a read is taken for; under it the fixed time of a read prevails.
-	paceTokens = 256.0
+	startPace  = 100e3 // ns to read a token, assumed before any read has been seen
+	// paceDown weighs a faster read, which met no queue, paceUp is the step after a slower one: a mean would
+	// shrink the spill bound under load and scatter the texts when that is dearest.
+	paceDown   = 0.2
+	paceUp     = 0.002
+	paceTokens = 256.0 // the least that a read is taken for; under it its fixed time prevails
 	// farCell and farZone are how many own streams more a writer of the reader's cell, or zone, may have:
 	// a move out crosses one shared link and has a price.
 	farCell = 1.0
 	farZone = 2.0
 	// fewRouters is up to how many routers that holds: of more, each has fewer streams, and the same handicap
 	// would send all states of a cell rich in readers to its few writers.
-	fewRouters = 4.0
-	// jamSpan is how long a jam of the links is remembered when no state is moved there.
-	jamSpan = 5 * Second
+	fewRouters     = 4.0
+	crowdedStreams = 0.5        // handicap of a writer whose cell can take no more; own streams go first
+	jamSpan        = 5 * Second // memory of a jam of the links when no state is moved there
 	// readCap and writeCap of the aim may an attempt take: half leaves one more try within the aim.
 	readCap  = 0.5
 	writeCap = 0.6
 	// againPart of the requests, and againMost at once, may be cut off for another attempt. When more are,
 	// the pool is short, and all would be done twice.
-	againPart = 0.03
-	againMost = 2.0
-	// calmTimes the expected, or less, is the usual answer time of a pool that is not short.
-	calmTimes = 4.0
-	// capTypical keeps time-outs that many times over what is usual, so load alone causes none.
-	capTypical = 4.0
+	againPart  = 0.03
+	againMost  = 2.0
+	calmTimes  = 4.0 // times the expected, or less, is the usual answer time of a pool that is not short
+	capTypical = 4.0 // times the usual are time-outs at the least, so load alone causes none
 	// quietTypical times the usual answer time without any sign, and quietFloor of the least aim, make a
 	// server with waiting attempts suspect.
-	quietTypical = 4.0
-	quietFloor   = 0.25
-	// slowTimes the median answer time of its peers, each over what was expected, makes it suspect.
-	slowTimes = 3.0
-	// writeExpected is the unit of first-token times; readers' are measured by the tokens to read.
-	writeExpected = 50e6
-	// slowSamples answers are needed to judge a server by its times.
-	slowSamples = 4
-	// answerGain weighs a new answer time; some five answers tell.
-	answerGain = 0.2
+	quietTypical  = 4.0
+	quietFloor    = 0.25
+	slowTimes     = 3.0  // times the median answer time of its peers make a server suspect
+	writeExpected = 50e6 // the unit of first-token times; reads are measured by their tokens
+	slowSamples   = 4    // answers are needed to judge a server by its times
+	answerGain    = 0.2  // weighs a new answer time; some five answers tell
 	// failGain and failLimit: two failures in a row, or a third of recent attempts, make a server suspect.
-	failGain  = 0.2
-	failLimit = 0.3
-	// failAfterTrial leaves a server that came back one failure away from being suspect again.
-	failAfterTrial = 0.25
-	// firstBench and longestBench bound how long a suspect server is left out before a trial.
-	firstBench   = 1 * Second
-	longestBench = 8 * Second
-	// coldMargin of this router's share of a cold server's budget is used: routers are unequal.
-	coldMargin = 0.9
+	failGain       = 0.2
+	failLimit      = 0.3
+	failAfterTrial = 0.25       // of a server that came back: one failure makes it suspect again
+	firstBench     = 1 * Second // how long a suspect server is left out before a trial, at first
+	longestBench   = 8 * Second // ... and at most
+	coldMargin     = 0.9        // of this router's share of a cold budget is used: routers are unequal
 	// coldChance sends are held back from the budget in proportion to its smallness (b*b/(b+coldChance)).
 	coldChance = 1.0
 	// mixGain weighs a send in the mean work of all: rare heavy classes must count, some 20 sends do.
-	mixGain = 0.05
-	// rateSpan is the memory of the work rates that the cold budget is guessed from.
-	rateSpan = 5 * Second
+	mixGain  = 0.05
+	rateSpan = 5 * Second // memory of the work rates that the cold budget is guessed from
 	// admitShare of the aim may the predicted wait reach before requests are refused at their arrival, the
 	// steeper the greater admitPower is. Some are always let in, so that the end of the trouble is seen. A
 	// prompt's bare read is not held against it, but what its tokens take longer under load is.
@@ -104,24 +91,18 @@
 	shareBurst = 2.0
 	// excessTimes the predicted wait, and excessRoom less of the writers' memory, is what traffic beyond
 	// a tenant's share is judged by.
-	excessTimes = 2.0
-	excessRoom  = 0.15
-	// answerGrowth: a stream holds its answer so far beside its booked prompt.
-	answerGrowth = 1.1
+	excessTimes  = 2.0
+	excessRoom   = 0.15
+	answerGrowth = 1.1 // a stream holds its answer so far beside its booked prompt
 	// probePoints of the result may go into probes at the most (0.004 is 0.4 points in 100).
-	probePoints = 0.001
-	// mostProbes a request may earn, however cheap they are.
-	mostProbes = 20.0
-	// probeFastest is the least time between probes of one server.
-	probeFastest = 300 * Second / 1000
+	probePoints  = 0.001
+	mostProbes   = 20.0                // earned by a request, however cheap they are
+	probeFastest = 300 * Second / 1000 // the least time between probes of one server
 	// watchChance at each tick spreads the routers' new askings for the list over about a second.
 	watchChance = 0.1
-	// keptEntries bounds what is remembered of a reader's kept texts.
-	keptEntries = 4096
-	// tickEvery is the time between looks at what no event brings up.
-	tickEvery = 100 * Second / 1000
-	// thousand prompt tokens are the unit of aims and of reported waits.
-	thousand = 1000.0
+	keptEntries = 4096                // remembered of a reader's kept texts, at most
+	tickEvery   = 100 * Second / 1000 // time between looks at what no event brings up
+	thousand    = 1000.0              // prompt tokens, the unit of aims and of reported waits
 )
 
 // server is what this router knows of one server.
@@ -198,12 +179,14 @@
 	out       []Action
 	pace      float64 // ns to read one token
 	leastAim  Duration
+	mostWorth float64
 	dones     [3]rate    // by stage, weighed by their work (1 is the mean)
 	meanWork  [3]float64 // of one send at a stage
 	moved     [3]float64 // usual time to a first token by the distance of the move, ns
 	movedAt   [3]Time
-	probes    float64 // that may still be sent
-	again     float64 // time-outs that may still lead to another attempt
+	room      map[int]float64 // by cell, see countCells
+	probes    float64         // that may still be sent
+	again     float64         // time-outs that may still lead to another attempt
 	work      []classWork
 	tenants   []tenant
 	unwatched bool // an asking for the list has failed
@@ -221,10 +204,11 @@
 // New returns a router that knows nothing but its settings.
 func New(set *Settings, seed uint64, now Time) *Router {
 	r := &Router{set: set, rng: seed, now: now, pace: startPace,
-		servers: map[ServerID]*server{}, requests: map[RequestID]*request{}}
+		servers: map[ServerID]*server{}, requests: map[RequestID]*request{}, room: map[int]float64{}}
 	r.leastAim = math.MaxInt64
 	for _, c := range set.Classes {
 		r.leastAim = min(r.leastAim, c.Aim)
+		r.mostWorth = max(r.mostWorth, c.Worth)
 		r.work = append(r.work, classWork{prompt: thousand, answer: float64(c.Aim)})
 	}
 	r.again = againMost
@@ -293,6 +277,25 @@
 			s.coldAt, s.coldWork = r.now, r.random() // not all routers at once
 		}
 	}
+	r.countCells()
+}
+
+// countCells sets the room of each cell: its part of the writers over its part of the readers.
+func (r *Router) countCells() {
+	const all = -1
+	readers, writers := map[int]float64{}, map[int]float64{}
+	for _, s := range r.order {
+		if s.ready && s.role == Reader {
+			readers[s.cell]++
+			readers[all]++
+		} else if s.ready {
+			writers[s.cell]++
+			writers[all]++
+		}
+	}
+	for _, s := range r.order {
+		r.room[s.cell] = writers[s.cell] * readers[all] / max(readers[s.cell]*writers[all], 1e-9)
+	}
 }
 
 // arrive takes a new request and sends it to a reader.
@@ -316,8 +319,8 @@
 	r.read(q)
 }
 
-// excess tells whether this router's part of a tenant's share is used up by what it let in: traffic
-// beyond is of little worth, so it is the first to go when anything runs short, and goes in otherwise.
+// excess tells whether this router's part of a tenant's share is used up by what it let in: traffic beyond is
+// of little worth, so it is the first to go when anything runs short.
 func (r *Router) excess(q *request) bool {
 	if q.job.Tenant >= len(r.tenants) || r.set.Tenants[q.job.Tenant].PerSecond <= 0 {
 		return false
@@ -331,8 +334,7 @@
 }
 
 // books is the share of the sound writers' memory that is held if every router holds as much as this one.
-// Reports come late, and writers lost or slow leave the others full within seconds: this shows at once.
-// It may harm a router that gets far more than its part of the traffic.
+// It shows at once what reports tell late, and may harm a router with far more than its part of the traffic.
 func (r *Router) books() float64 {
 	booked, memory := 0.0, 0.0
 	for _, s := range r.order {
@@ -377,11 +379,7 @@
 	if writer.share < 0 {
 		return chance
 	}
-	worth, most := r.set.Classes[q.job.Class].Worth, 0.0
-	for _, c := range r.set.Classes {
-		most = max(most, c.Worth)
-	}
-	spare := fullSpare * worth / max(most, 1e-9)
+	spare := fullSpare * r.set.Classes[q.job.Class].Worth / max(r.mostWorth, 1e-9)
 	if excess {
 		spare = -excessRoom
 	}
@@ -395,8 +393,7 @@
 	return (r.recent(s)*(s.waiting+fresh+paceTokens) - fresh) * r.pace
 }
 
-// recent is a server's answer time, faded once it is old: what is refused brings no news, and an old
-// bad time must not go on refusing for ever.
+// recent is a server's answer time, faded once it is old: what is refused brings no news.
 func (r *Router) recent(s *server) float64 {
 	return s.answer * decay(max(0, r.now-s.answered-fadeSpan), fadeSpan)
 }
@@ -475,14 +472,12 @@
 		s.pending--
 	}
 	switch ev.Outcome {
-	case Served:
+	case Served, Full:
 		s.quietFrom = r.now
 	case ReadDone:
 		s.quietFrom = r.now
 		r.good(q, s, float64(ev.Spent)/q.expect)
 		r.learnPace(float64(ev.Spent) / max(q.job.Prompt-ev.Kept, paceTokens))
-	case Full:
-		s.quietFrom = r.now
 	case Error, Reset, TimedOut, ConnectFailed:
 		if ev.Outcome == TimedOut && q.stage != streaming &&
 			(q.sentAt < s.overtaken || q.sentAt < s.quietFrom && r.usual(s.role, nil) < calmTimes) {
@@ -592,7 +587,8 @@
 			if s.share >= 0 && print > fitFraction {
 				continue
 			}
-			n, c := float64(s.streams)+r.far(distance(q, s)), s.booked+streamWeight*float64(s.streams)
+			n := float64(s.streams) + r.far(distance(q, s)) + r.crowded(q, s)
+			c := s.booked + streamWeight*float64(s.streams)
 			switch {
 			case pick == nil || n < streams || n == streams && c < cost:
 				pick, streams, cost, ties = s, n, c, 1
@@ -634,14 +630,27 @@
 }
 
 // far is the handicap, in streams, of a writer to which the state must cross a link. It grows as first
-// tokens after such moves take longer than after near ones: that is how a jam of links shows, and full
-// or slow writers at one place. It fades when no news comes, so that the way is tried again.
+// tokens come later after such moves than after near ones, as in a jam, and fades when no news comes.
 func (r *Router) far(d int) float64 {
 	base := [...]float64{0, farCell, farZone}[d] * min(1, fewRouters/float64(r.set.Routers))
 	late := r.moved[d]/max(r.moved[0], writeExpected) - 1
 	return base * (1 + max(0, late)*decay(r.now-r.movedAt[d], jamSpan))
 }
 
+// crowded is a handicap under one stream: with many routers most writers have none of this one's, and the
+// nearest would always win. A cell with less of the writers than of the readers keeps as many of its states
+// as its part of the writers; the rest goes, by chance, where it is the other way round.
+func (r *Router) crowded(q *request, s *server) float64 {
+	chance := 1 / max(r.room[s.cell], 1)
+	if distance(q, s) == 0 {
+		chance = 1 - r.room[s.cell]
+	}
+	if r.random() < chance {
+		return crowdedStreams
+	}
+	return 0
+}
+
 // learnMove takes in the time from a send to a writer to its first token.
 func (r *Router) learnMove(d int, spent Duration) {
 	r.moved[d] += answerGain * (float64(spent) - r.moved[d])
@@ -924,8 +933,7 @@
 	}
 }
 
-// earnProbes lets a request pay for the probes that it may cost. Paced by requests they keep to their
-// price however many routers share the traffic and however many servers there are.
+// earnProbes lets a request pay for the probes that it may cost, so that many routers cost no more than few.
 func (r *Router) earnProbes() {
 	r.probes = min(r.probes+probePoints/max(r.set.ProbeFee, probePoints/mostProbes), float64(len(r.order)))
 }
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -905,3 +905,26 @@
 		t.Errorf("%d of three streams went to the far writer, one expected", far)
 	}
 }
+
+// Three readers and one writer in a cell, one reader and three writers in the next: with many routers the first
+// cell's states must not all go to its one writer, nor the second cell's leave it.
+func TestCrowdedCellsLetStatesGo(t *testing.T) {
+	set := settings()
+	set.Routers = 200
+	list := []Listing{}
+	for i, kind := range []int{0, 0, 0, 1, 0, 1, 1, 1} {
+		list = append(list, Listing{Server: ServerID(i + 1), Kind: kind, Cell: i / 4, Condition: Ready})
+	}
+	w := newWorld(t, set, list)
+	sent := [2][2]int{}
+	for i := 0; i < 300; i++ {
+		q := &request{job: Job{Prompt: 1000}, state: w.r.servers[ServerID(1+i%2*4)]}
+		sent[q.state.cell][w.r.pickWriter(q).cell]++
+	}
+	if kept := sent[0][0]; kept < 30 || kept > 75 {
+		t.Errorf("the crowded cell kept %d of 150 states, about a third expected", kept)
+	}
+	if sent[1][0] != 0 {
+		t.Errorf("%d states went into the crowded cell", sent[1][0])
+	}
+}
