--- a/decide/decide.go
+++ b/decide/decide.go
@@ -41,8 +41,9 @@
 	// fewRouters is up to how many routers that holds: of more, each has fewer streams, and the same handicap
 	// would send all states of a cell rich in readers to its few writers.
 	fewRouters     = 4.0
-	crowdedStreams = 0.5        // handicap of a writer whose cell can take no more; own streams go first
-	jamSpan        = 5 * Second // memory of a jam of the links when no state is moved there
+	crowdedStreams = 0.5         // handicap of a writer whose cell can take no more; own streams go first
+	longMemory     = 16 * Second // what is learnt of a server lasts at the most, however rarely it is used
+	jamSpan        = 5 * Second  // memory of a jam of the links when no state is moved there
 	// readCap and writeCap of the aim may an attempt take: half leaves one more try within the aim.
 	readCap  = 0.5
 	writeCap = 0.6
@@ -123,13 +124,12 @@
 	share     float64 // reported share of memory, negative while untold
 	kept      map[uint64]float64
 
-	answer    float64 // usual time of its answers, over what was expected
-	answers   int
-	answered  Time // when the last came
-	overtaken Time // when the newest of the answered was sent
-	failing   float64
-	bench     Duration // 0: in good standing
-	until     Time     // with bench > 0: no trial before
+	answer   float64 // usual time of its answers, over what was expected
+	answers  int
+	answered Time // when the last came
+	failing  float64
+	bench    Duration // 0: in good standing
+	until    Time     // with bench > 0: no trial before
 
 	coldAt   Time    // rule 4: when it was last sent anything, or named first
 	coldWork float64 // the work of that
@@ -178,6 +178,7 @@
 	requests  map[RequestID]*request
 	out       []Action
 	pace      float64 // ns to read one token
+	found     float64 // usual share of a shared text found kept where this router had not sent it
 	leastAim  Duration
 	mostWorth float64
 	dones     [3]rate    // by stage, weighed by their work (1 is the mean)
@@ -306,7 +307,8 @@
 	}
 	r.requests[q.id] = q
 	r.again = min(r.again+againPart, againMost)
-	r.earnProbes()
+	// Each request pays for the probes that it may cost, so that many routers cost no more than few.
+	r.probes = min(r.probes+probePoints/max(r.set.ProbeFee, probePoints/mostProbes), float64(len(r.order)))
 	w := &r.work[q.job.Class]
 	w.prompt += answerGain * (q.job.Prompt - w.prompt)
 	if r.random() < r.refusal(q) {
@@ -387,15 +389,21 @@
 	return max(chance, min(full, 1))
 }
 
+// remembered stretches a memory of single servers: the more routers, the rarer each uses one.
+func (r *Router) remembered(span Duration) Duration {
+	return max(span, min(span*Duration(r.set.Routers)/fewRouters, longMemory))
+}
+
 // readWait is how long a request should wait in a reader's queue, beyond its own bare read.
 func (r *Router) readWait(q *request, s *server) float64 {
-	fresh := s.fresh(q)
+	fresh := r.fresh(q, s)
 	return (r.recent(s)*(s.waiting+fresh+paceTokens) - fresh) * r.pace
 }
 
 // recent is a server's answer time, faded once it is old: what is refused brings no news.
 func (r *Router) recent(s *server) float64 {
-	return s.answer * decay(max(0, r.now-s.answered-fadeSpan), fadeSpan)
+	span := r.remembered(fadeSpan)
+	return s.answer * decay(max(0, r.now-s.answered-span), span)
 }
 
 // first: the answer has begun. It now belongs to the client, and all else that was held is let go.
@@ -426,11 +434,16 @@
 	was := q.stage
 	q.out = nil
 	if was == reading && ev.Outcome == ReadDone {
+		if q.job.Prefix > 0 && s.kept[q.key] == 0 && r.set.Routers > fewRouters {
+			r.found += answerGain * (min(ev.Kept/q.job.Prefix, 1) - r.found)
+		}
 		q.state, q.mayHold, q.alone = s, true, false
 		s.keep(q.key, q.job.Prefix)
 		s.keep(q.job.Session, q.job.Prompt)
 	}
-	if was != reading && !provenUnrun(ev.Outcome) && !q.mayRun {
+	// Four outcomes prove that an attempt at a writer never ran.
+	unrun := ev.Outcome == Full || ev.Outcome == ConnectFailed || ev.Outcome == Moot || ev.Outcome == ReadDone
+	if was != reading && !unrun && !q.mayRun {
 		q.mayRun, q.runOn, q.runAt = true, s, r.now-ev.Spent
 	}
 	if ev.Closed || q.closed {
@@ -476,12 +489,19 @@
 		s.quietFrom = r.now
 	case ReadDone:
 		s.quietFrom = r.now
+		if r.found > 0 {
+			q.expect = max(q.expect+(q.job.Prompt-ev.Kept-q.tokens)*r.pace, paceTokens*r.pace)
+		}
 		r.good(q, s, float64(ev.Spent)/q.expect)
-		r.learnPace(float64(ev.Spent) / max(q.job.Prompt-ev.Kept, paceTokens))
+		if pace := float64(ev.Spent) / max(q.job.Prompt-ev.Kept, paceTokens); pace < r.pace {
+			r.pace += paceDown * (pace - r.pace)
+		} else {
+			r.pace *= 1 + paceUp
+		}
 	case Error, Reset, TimedOut, ConnectFailed:
 		if ev.Outcome == TimedOut && q.stage != streaming &&
-			(q.sentAt < s.overtaken || q.sentAt < s.quietFrom && r.usual(s.role, nil) < calmTimes) {
-			return // others were answered, and no queue is long: this one or its answer was lost
+			q.sentAt < s.quietFrom && r.usual(s.role, nil) < calmTimes {
+			return // the server was heard since, and no queue is long: this one or its answer was lost
 		}
 		if ev.Outcome == TimedOut && q.stage != streaming {
 			// At least so long: under load that all share, the usual time grows and time-outs with it.
@@ -543,18 +563,10 @@
 	return nil
 }
 
-// learnPace takes in the time that a read took for each token.
-func (r *Router) learnPace(sample float64) {
-	if sample < r.pace {
-		r.pace += paceDown * (sample - r.pace)
-	} else {
-		r.pace *= 1 + paceUp
-	}
-}
-
 // fresh guesses how many tokens of a prompt a reader has not kept.
-func (s *server) fresh(q *request) float64 {
-	return max(1, q.job.Prompt-max(s.kept[q.key], s.kept[q.job.Session]))
+func (r *Router) fresh(q *request, s *server) float64 {
+	kept := max(s.kept[q.key], s.kept[q.job.Session])
+	return max(1, q.job.Prompt-max(kept, r.found*q.job.Prefix))
 }
 
 func (s *server) keep(key uint64, tokens float64) {
@@ -702,7 +714,7 @@
 	}
 	s.pending++
 	if st == reading {
-		q.tokens = s.fresh(q)
+		q.tokens = r.fresh(q, s)
 		s.waiting += q.tokens
 		q.expect = r.readTime(s)
 	} else {
@@ -757,11 +769,6 @@
 	}
 }
 
-// provenUnrun tells whether an outcome at a writer proves that the attempt never ran.
-func provenUnrun(o Outcome) bool {
-	return o == Full || o == ConnectFailed || o == Moot || o == ReadDone
-}
-
 // --- cold servers ---
 
 // cold tells whether a server may still be warming up.
@@ -790,14 +797,6 @@
 	return Duration(min(gap, float64(r.set.ColdFor)))
 }
 
-func (r *Router) addRate(st stage, work float64) {
-	if r.meanWork[st] == 0 {
-		r.meanWork[st] = work
-	}
-	r.meanWork[st] += mixGain * (work - r.meanWork[st])
-	r.dones[st].add(r.now, work/max(r.meanWork[st], 1))
-}
-
 // workOf is the mean work of a request's class at a stage.
 func (r *Router) workOf(q *request, st stage) float64 {
 	if st == reading {
@@ -856,9 +855,12 @@
 
 // good: a server has answered in so much time. A benched one is back if that is no longer slow.
 func (r *Router) good(q *request, s *server, spent float64) {
-	s.overtaken = max(s.overtaken, q.sentAt)
-	if !r.cold(s) {
-		r.addRate(q.stage, r.workOf(q, q.stage))
+	if mean, work := &r.meanWork[q.stage], r.workOf(q, q.stage); !r.cold(s) {
+		if *mean == 0 {
+			*mean = work
+		}
+		*mean += mixGain * (work - *mean)
+		r.dones[q.stage].add(r.now, work/max(*mean, 1))
 	}
 	s.failing *= 1 - failGain
 	usual := r.usual(s.role, s)
@@ -892,7 +894,7 @@
 	if !dead && s.bench == 0 && 2*(sound-1) < r.count(s.role, func(*server) bool { return true }) {
 		return // when half of a pool looks bad it is load, and leaving servers out makes it worse
 	}
-	s.bench = min(max(2*s.bench, firstBench), longestBench)
+	s.bench = min(max(2*s.bench, r.remembered(firstBench)), r.remembered(longestBench))
 	s.until = r.now + s.bench
 }
 
@@ -933,11 +935,6 @@
 	}
 }
 
-// earnProbes lets a request pay for the probes that it may cost, so that many routers cost no more than few.
-func (r *Router) earnProbes() {
-	r.probes = min(r.probes+probePoints/max(r.set.ProbeFee, probePoints/mostProbes), float64(len(r.order)))
-}
-
 func (r *Router) probed(ev *Event) {
 	s := r.servers[ev.Server]
 	if s == nil {
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -827,7 +827,7 @@
 					if n != 1 {
 						t.Fatalf("class %d, outcome %d, writer %v, after %v: %v", class, o, atWriter, late, kinds(acts))
 					}
-					ran := atWriter && !provenUnrun(o)
+					ran := atWriter && o != Full && o != ConnectFailed && o != Moot && o != ReadDone
 					rep, scope := w.r.set.Classes[class].Repeat, w.r.set.Classes[class].Scope
 					switch {
 					case ran && rep == Unsafe && fail == nil,
@@ -928,3 +928,36 @@
 		t.Errorf("%d states went into the crowded cell", sent[1][0])
 	}
 }
+
+// With many routers each uses one server so rarely that what it learnt there must last longer, and the shared
+// text is usually kept there already, by the reads of others.
+func TestRareUseIsRemembered(t *testing.T) {
+	for _, c := range []struct {
+		routers int
+		slow    bool
+		fresh   float64
+	}{{2, false, 1000}, {200, true, 200}} {
+		set := settings()
+		set.Routers = c.routers
+		w := newWorld(t, set, fleet())
+		s := w.r.servers[1]
+		s.answer, s.answers, s.answered = 10, 1, w.now
+		w.now += 10 * Second
+		for i := 0; i < 60; i++ { // the other reader finds the text kept each time, though it is new here
+			id, acts := w.arrive(safe)
+			reader := w.sent(acts)
+			w.r.servers[reader].kept = map[uint64]float64{}
+			w.now += 20 * ms
+			w.do(Event{Kind: Ended, Request: id, Server: reader, Outcome: ReadDone, Kept: 800, Spent: 20 * ms})
+			w.do(Event{Kind: ClientGone, Request: id})
+		}
+		s.answer, s.answered = 10, w.now-10*Second
+		if got := w.r.recent(s) > 1; got != c.slow {
+			t.Errorf("%d routers: slow answer remembered after 10 s: %v", c.routers, got)
+		}
+		q := &request{key: 5, job: Job{Text: 5, Prompt: 1000, Prefix: 800}}
+		if got := w.r.fresh(q, s); got < c.fresh || got > c.fresh+10 {
+			t.Errorf("%d routers: %g tokens taken for new, %g expected", c.routers, got, c.fresh)
+		}
+	}
+}
