--- a/decide/decide.go
+++ b/decide/decide.go
@@ -877,10 +877,10 @@
 	}
 }
 
-// bad: an attempt at a server has failed.
+// bad: an attempt at a server has failed. With many routers the next one here would tell too late.
 func (r *Router) bad(s *server, dead bool) {
 	s.failing += failGain * (1 - s.failing)
-	if dead || s.failing > failLimit || s.bench > 0 {
+	if dead || s.failing > failLimit || s.bench > 0 || r.set.Routers > fewRouters {
 		r.benchIt(s, dead)
 	}
 }
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -961,3 +961,17 @@
 		}
 	}
 }
+
+// With many routers a server is met every half minute: its first failure must count.
+func TestFirstFailureCountsWithManyRouters(t *testing.T) {
+	for routers, left := range map[int]bool{2: false, 200: true} {
+		set := settings()
+		set.Routers = routers
+		w := newWorld(t, set, fleet())
+		id, writer := w.read(safe)
+		w.end(id, 1, writer, Error)
+		if got := w.r.suspect(w.r.servers[writer], false); got != left {
+			t.Errorf("%d routers: left out after one error: %v", routers, got)
+		}
+	}
+}
