--- a/decide/decide.go
+++ b/decide/decide.go
@@ -59,7 +59,7 @@
 	quietFloor    = 0.25
 	slowTimes     = 3.0  // times the median answer time of its peers make a server suspect
 	writeExpected = 50e6 // the unit of first-token times; reads are measured by their tokens
-	slowSamples   = 4    // answers are needed to judge a server by its times
+	slowSamples   = 4    // answers are needed to judge a server by its times; of many routers none has so many
 	answerGain    = 0.2  // weighs a new answer time; some five answers tell
 	// failGain and failLimit: two failures in a row, or a third of recent attempts, make a server suspect.
 	failGain       = 0.2
@@ -832,7 +832,7 @@
 func (r *Router) median(role Role, but *server, of func(*server) float64) float64 {
 	var times []float64
 	for _, s := range r.order {
-		if s != but && s.role&role != 0 && s.ready && s.answers >= slowSamples {
+		if s != but && s.role&role != 0 && s.ready && (s.answers >= slowSamples || s.answers > 0 && r.set.Routers > fewRouters) {
 			times = append(times, of(s))
 		}
 	}
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -975,3 +975,18 @@
 		}
 	}
 }
+
+// With many routers no server is heard four times in a minute: one answer of each must do for the usual time.
+func TestUsualTimesOfManyRouters(t *testing.T) {
+	for routers, want := range map[int]float64{2: 0, 200: 6} {
+		set := settings()
+		set.Routers = routers
+		w := newWorld(t, set, fleet())
+		for _, id := range []ServerID{11, 12, 13} {
+			w.r.servers[id].learn(6, w.now)
+		}
+		if got := w.r.usual(Writer, nil); got != want {
+			t.Errorf("%d routers: usual time %g after one answer of each, %g expected", routers, got, want)
+		}
+	}
+}
