--- a/decide/decide.go
+++ b/decide/decide.go
@@ -59,7 +59,7 @@
 	quietFloor    = 0.25
 	slowTimes     = 3.0  // times the median answer time of its peers make a server suspect
 	writeExpected = 50e6 // the unit of first-token times; reads are measured by their tokens
-	slowSamples   = 4    // answers are needed to judge a server by its times; of many routers none has so many
+	slowSamples   = 4    // answers are needed to judge a server by its times, unless routers are many
 	answerGain    = 0.2  // weighs a new answer time; some five answers tell
 	// failGain and failLimit: two failures in a row, or a third of recent attempts, make a server suspect.
 	failGain       = 0.2
@@ -83,18 +83,14 @@
 	// fullLow and fullHigh: the smallest footprint of any writer from which none and all of the requests of
 	// the least worth are refused: full writers put streams back and read them anew. Classes of more worth
 	// go up to fullSpare later.
-	fullLow   = 0.9
-	fullHigh  = 0.98
-	fullSpare = 0.04
-	// shareSlack: routers get unequal parts of a tenant's traffic, so each allows that many times an even
-	// part of the share; shareBurst is how many seconds' worth may come at once.
-	shareSlack = 1.5
-	shareBurst = 2.0
-	// excessTimes the predicted wait, and excessRoom less of the writers' memory, is what traffic beyond
-	// a tenant's share is judged by.
-	excessTimes  = 2.0
-	excessRoom   = 0.15
-	answerGrowth = 1.1 // a stream holds its answer so far beside its booked prompt
+	fullLow      = 0.9
+	fullHigh     = 0.98
+	fullSpare    = 0.04
+	shareSlack   = 1.5  // times an even part of a tenant's share may each router let in, as their parts differ
+	shareBurst   = 2.0  // seconds' worth of that may come at once
+	excessTimes  = 2.0  // times the predicted wait, and excessRoom less of the writers' memory, is what
+	excessRoom   = 0.15 // traffic beyond a tenant's share is judged by
+	answerGrowth = 1.1  // a stream holds its answer so far beside its booked prompt
 	// probePoints of the result may go into probes at the most (0.004 is 0.4 points in 100).
 	probePoints  = 0.001
 	mostProbes   = 20.0                // earned by a request, however cheap they are
@@ -181,6 +177,7 @@
 	found     float64 // usual share of a shared text found kept where this router had not sent it
 	leastAim  Duration
 	mostWorth float64
+	many      bool       // more than fewRouters
 	dones     [3]rate    // by stage, weighed by their work (1 is the mean)
 	meanWork  [3]float64 // of one send at a stage
 	moved     [3]float64 // usual time to a first token by the distance of the move, ns
@@ -212,7 +209,7 @@
 		r.mostWorth = max(r.mostWorth, c.Worth)
 		r.work = append(r.work, classWork{prompt: thousand, answer: float64(c.Aim)})
 	}
-	r.again = againMost
+	r.again, r.many = againMost, set.Routers > fewRouters
 	r.tenants = make([]tenant, len(set.Tenants))
 	return r
 }
@@ -330,8 +327,7 @@
 	t := &r.tenants[q.job.Tenant]
 	part := shareSlack * r.set.Tenants[q.job.Tenant].PerSecond / float64(r.set.Routers)
 	seconds := float64(r.now-t.at) / float64(Second)
-	t.left = min(max(t.left, -part)+part*seconds, part*shareBurst)
-	t.at = r.now
+	t.left, t.at = min(max(t.left, -part)+part*seconds, part*shareBurst), r.now
 	return t.left < 1
 }
 
@@ -434,7 +430,7 @@
 	was := q.stage
 	q.out = nil
 	if was == reading && ev.Outcome == ReadDone {
-		if q.job.Prefix > 0 && s.kept[q.key] == 0 && r.set.Routers > fewRouters {
+		if q.job.Prefix > 0 && s.kept[q.key] == 0 && r.many {
 			r.found += answerGain * (min(ev.Kept/q.job.Prefix, 1) - r.found)
 		}
 		q.state, q.mayHold, q.alone = s, true, false
@@ -706,8 +702,7 @@
 		r.act(Action{Kind: Release, Request: q.id})
 		q.mayHold = false
 	}
-	q.stage, q.out = st, s
-	q.sentAt = r.now
+	q.stage, q.out, q.sentAt = st, s, r.now
 	q.attempts++
 	if s.pending == 0 {
 		s.quietFrom = r.now
@@ -832,7 +827,7 @@
 func (r *Router) median(role Role, but *server, of func(*server) float64) float64 {
 	var times []float64
 	for _, s := range r.order {
-		if s != but && s.role&role != 0 && s.ready && (s.answers >= slowSamples || s.answers > 0 && r.set.Routers > fewRouters) {
+		if s != but && s.role&role != 0 && s.ready && (s.answers >= slowSamples || r.many && s.answers > 0) {
 			times = append(times, of(s))
 		}
 	}
@@ -880,7 +875,7 @@
 // bad: an attempt at a server has failed. With many routers the next one here would tell too late.
 func (r *Router) bad(s *server, dead bool) {
 	s.failing += failGain * (1 - s.failing)
-	if dead || s.failing > failLimit || s.bench > 0 || r.set.Routers > fewRouters {
+	if dead || s.failing > failLimit || s.bench > 0 || r.many {
 		r.benchIt(s, dead)
 	}
 }
