--- a/decide/decide.go
+++ b/decide/decide.go
@@ -86,7 +86,7 @@
 	fullLow      = 0.9
 	fullHigh     = 0.98
 	fullSpare    = 0.04
-	shareSlack   = 1.5  // times an even part of a tenant's share may each router let in, as their parts differ
+	shareSlack   = 1.5  // times an even part of a tenant's share may each router let in: parts differ
 	shareBurst   = 2.0  // seconds' worth of that may come at once
 	excessTimes  = 2.0  // times the predicted wait, and excessRoom less of the writers' memory, is what
 	excessRoom   = 0.15 // traffic beyond a tenant's share is judged by
@@ -367,7 +367,11 @@
 	if reader == nil || writer == nil {
 		return 0 // sending will find out
 	}
-	wait := r.readWait(q, reader) + r.median(Writer, nil, r.recent)*writeExpected
+	wait := r.readWait(q, reader)
+	if r.many { // it may not have been heard lately, others of its pool have
+		wait = max(wait, (r.median(Reader, nil, r.recent)-1)*r.fresh(q, reader)*r.pace)
+	}
+	wait += r.median(Writer, nil, r.recent) * writeExpected
 	excess := r.excess(q)
 	late := wait / (admitShare * float64(r.aim(q)))
 	if excess {
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -990,3 +990,22 @@
 		}
 	}
 }
+
+// The reader picked was never heard, the rest of its pool is ten times late: with many routers that counts.
+func TestUnheardReadersAreJudgedByTheirPool(t *testing.T) {
+	refusal := func(routers int) float64 {
+		set := settings()
+		set.Routers = routers
+		w := newWorld(t, set, fleet())
+		w.r.servers[2].learn(40, w.now)
+		w.r.servers[2].learn(40, w.now)
+		q := &request{key: 1, job: Job{Text: 1, Prompt: 1000}}
+		for key := uint64(1); w.r.pickReader(q).id != 1; key++ {
+			q.key = key
+		}
+		return w.r.refusal(q)
+	}
+	if few, many := refusal(2), refusal(200); few != 0 || many < 0.5 {
+		t.Errorf("refused with chance %g by one of two routers, %g by one of 200", few, many)
+	}
+}
