--- a/decide/decide.go
+++ b/decide/decide.go
@@ -98,6 +98,7 @@
 	// watchChance at each tick spreads the routers' new askings for the list over about a second.
 	watchChance = 0.1
 	keptEntries = 4096                // remembered of a reader's kept texts, at most
+	forgetAfter = 600 * Second        // a server that left the list and has nothing out is forgotten
 	tickEvery   = 100 * Second / 1000 // time between looks at what no event brings up
 	thousand    = 1000.0              // prompt tokens, the unit of aims and of reported waits
 )
@@ -110,6 +111,7 @@
 	memory     float64
 	ready      bool // rule 3: false from the moment that a list says draining or gone
 	since      Time // last start told
+	leftAt     Time // when it stopped being ready
 
 	pending   int  // own attempts that wait for a first sign
 	quietFrom Time // with pending > 0: when the wait without any sign began
@@ -251,20 +253,21 @@
 	}
 	if ev.Kind != ListChanged {
 		for _, s := range r.order {
-			s.ready = false
+			r.setReady(s, false)
 		}
 	}
 	for _, l := range ev.Servers {
 		s := r.servers[l.Server]
 		if s == nil {
-			s = &server{id: l.Server, share: -1, kept: map[uint64]float64{}, since: l.Since}
+			s = &server{id: l.Server, share: -1, kept: map[uint64]float64{}, since: l.Since, leftAt: r.now}
 			r.servers[l.Server] = s
 			r.order = append(r.order, s)
 			sort.Slice(r.order, func(i, j int) bool { return r.order[i].id < r.order[j].id })
 			s.coldAt, s.coldWork = r.now, r.random()
 			s.probedAt = r.now - Duration(r.random()*float64(Second)) // in no common order
 		}
-		s.zone, s.cell, s.ready = l.Zone, l.Cell, l.Condition == Ready
+		s.zone, s.cell = l.Zone, l.Cell
+		r.setReady(s, l.Condition == Ready)
 		if l.Kind < len(r.set.Kinds) {
 			s.role, s.memory = r.set.Kinds[l.Kind].Role, r.set.Kinds[l.Kind].Memory
 		}
@@ -275,12 +278,36 @@
 			s.coldAt, s.coldWork = r.now, r.random() // not all routers at once
 		}
 	}
+	r.forget()
 	r.countCells()
 }
 
+func (r *Router) setReady(s *server, ready bool) {
+	if s.ready && !ready {
+		s.leftAt = r.now
+	}
+	s.ready = ready
+}
+
+// forget drops what is known of servers that left long ago, lest a year of new ids fill the memory. One with
+// an attempt or a probe out stays: its outcome is still to be booked.
+func (r *Router) forget() {
+	kept := r.order[:0]
+	for _, s := range r.order {
+		if s.ready || s.pending > 0 || s.streams > 0 || s.probing || r.now-s.leftAt < forgetAfter {
+			kept = append(kept, s)
+		} else {
+			delete(r.servers, s.id)
+		}
+	}
+	clear(r.order[len(kept):])
+	r.order = kept
+}
+
 // countCells sets the room of each cell: its part of the writers over its part of the readers.
 func (r *Router) countCells() {
 	const all = -1
+	clear(r.room)
 	readers, writers := map[int]float64{}, map[int]float64{}
 	for _, s := range r.order {
 		if s.ready && s.role == Reader {
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -1041,3 +1041,30 @@
 		t.Errorf("back under its name: ready %v, cold %v, bench %d", s.ready, w.r.cold(s), s.bench)
 	}
 }
+
+// A year of replaced servers must not fill the memory, nor may a server be forgotten that still owes an
+// outcome.
+func TestServersThatLeftAreForgotten(t *testing.T) {
+	w := newWorld(t, settings(), fleet())
+	_, writer := w.read(safe) // its attempt at the writer is out
+	for i := range 50 {
+		id := ServerID(1000 + i)
+		w.now += forgetAfter / 4
+		w.do(Event{Kind: ListChanged, Servers: []Listing{{Server: id, Kind: 0, Condition: Ready}}})
+		w.do(Event{Kind: ListChanged, Servers: []Listing{{Server: id, Kind: 0, Condition: Gone}}})
+	}
+	if n, most := len(w.r.order), len(fleet())+5; n > most || len(w.r.servers) != n {
+		t.Errorf("%d servers (%d by id) are remembered, at most %d should be", n, len(w.r.servers), most)
+	}
+	var all []Listing
+	for _, l := range fleet() {
+		l.Condition = Gone
+		all = append(all, l)
+	}
+	w.do(Event{Kind: ListChanged, Servers: all})
+	w.now += 2 * forgetAfter
+	w.do(Event{Kind: ListChanged})
+	if len(w.r.order) != 1 || w.r.servers[writer] == nil {
+		t.Errorf("%d servers are left, want the one writer whose attempt is out", len(w.r.order))
+	}
+}
