--- /dev/null
+++ b/internal/config/config_test.go
@@ -0,0 +1,192 @@
+package config
+
+import (
+	"bytes"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"mintdoor/decide"
+)
+
+const sound = `
+list engines.list     # where the engines are
+listen 127.0.0.1:0
+let-go-within 300ms
+max-body 64KiB
+class price-ask
+    aim 1.2s
+    deadline 6s
+class pen-booking
+    repeat unsafe
+    worth 3
+kind reader
+    role prefill
+    memory 280k
+kind writer
+    role decode
+tenant "Saddar hall"
+    rate 20/s
+`
+
+func TestParse(t *testing.T) {
+	s, err := Parse("test.conf", sound)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if s.LetGoWithin != 300*time.Millisecond || s.MaxBody != 64<<10 || s.AttemptLimit != 6 {
+		t.Errorf("values or defaults are off: %+v", s)
+	}
+	if len(s.Classes) != 2 || s.Classes[0].Aim != 1200*1e6 || s.Classes[1].Repeat != decide.Unsafe ||
+		s.Classes[1].Aim != decide.Second {
+		t.Errorf("classes: %+v", s.Classes)
+	}
+	if s.Kinds[0].Memory != 280e3 || s.Kinds[0].Role != decide.Reader || s.TenantIndex("Saddar hall") != 0 {
+		t.Errorf("kinds and tenants: %+v %+v", s.Kinds, s.Tenants)
+	}
+	d := s.Decide(func(string) int { return 7 })
+	if d.Zone != 7 || len(d.Classes) != 2 || d.MaxRetryAfter != decide.Second/2 || d.Tenants[0].PerSecond != 20 {
+		t.Errorf("the module's part: %+v", d)
+	}
+}
+
+// Every error of a file comes at once, each with its line, what was found and what is right.
+func TestEveryErrorAtOnce(t *testing.T) {
+	_, err := Parse("bad.conf", `listen nowhere
+lisst x
+aim 1s
+max-open 0
+routers 2
+index 5
+attempts 2 3
+listen 127.0.0.1:1
+default-class nobody
+class a
+    deadline 10ms
+    repeat sometimes
+class a
+kind k
+name "never closed
+`)
+	if err == nil {
+		t.Fatal("the file was taken")
+	}
+	for _, want := range []string{
+		`bad.conf:1: listen: found "nowhere", expected an address`,
+		`bad.conf:2: found "lisst", expected perhaps "list"`,
+		`bad.conf:3: found "aim" in section router, expected it in section class`,
+		`bad.conf:4: max-open: found "0", expected 1 to`,
+		`bad.conf:6: index: found 5, expected less than routers, 2`,
+		`bad.conf:7: attempts has 2 values, expected one`,
+		`bad.conf:8: listen stands twice in router, first at bad.conf:1`,
+		`bad.conf:9: default-class: found "nobody"`,
+		`class a: its deadline 10ms is under its aim 1s`,
+		`bad.conf:12: repeat: found "sometimes", expected one of safe, keyed, unsafe`,
+		`bad.conf:13: class a stands twice, first at bad.conf:10`,
+		`bad.conf:14: kind k has no role`,
+		`bad.conf:15: found ", expected a closing quote`,
+		`list is missing`,
+		`can't do both stages`,
+	} {
+		if !strings.Contains(err.Error(), want) {
+			t.Errorf("%q is not among the errors", want)
+		}
+	}
+	if t.Failed() {
+		t.Log(err)
+	}
+}
+
+func TestIncludes(t *testing.T) {
+	dir := t.TempDir()
+	write := func(name, text string) string {
+		path := filepath.Join(dir, name)
+		if err := os.MkdirAll(filepath.Dir(path), 0o755); err != nil {
+			t.Fatal(err)
+		}
+		if err := os.WriteFile(path, []byte(text), 0o644); err != nil {
+			t.Fatal(err)
+		}
+		return path
+	}
+	write("more/classes.conf", "class a\nclass b\nkind r\nrole prefill\nkind w\nrole decode\n")
+	s, err := Load(write("main.conf", "list engines.list\ninclude more/classes.conf\n"))
+	if err != nil || len(s.Classes) != 2 || s.List != filepath.Join(dir, "engines.list") {
+		t.Errorf("%v, %+v", err, s)
+	}
+	write("a.conf", "include b.conf\n")
+	write("b.conf", "include a.conf\n")
+	if _, err := Load(filepath.Join(dir, "a.conf")); err == nil || !strings.Contains(err.Error(), "b.conf:1: include") {
+		t.Errorf("a circle: %v", err)
+	}
+	if _, err := Load(write("c.conf", "include none.conf\n")); err == nil || !strings.Contains(err.Error(), "c.conf:1: include") {
+		t.Errorf("a missing file: %v", err)
+	}
+}
+
+// What is printed as defaults is read back as the defaults.
+func TestDefaultsAreReadable(t *testing.T) {
+	var b bytes.Buffer
+	if err := WriteDefaults(&b); err != nil {
+		t.Fatal(err)
+	}
+	text := strings.Replace(b.String(), " ? ", " x ", 1)
+	text = strings.Replace(text, " ? ", " both ", 1)
+	s, err := Parse("defaults", text)
+	if err != nil {
+		t.Fatalf("%v\n%s", err, text)
+	}
+	if s.DrainGrace != time.Second || s.Classes[0].MaxTokens != 500 {
+		t.Errorf("%+v", s)
+	}
+}
+
+func TestValues(t *testing.T) {
+	for _, c := range []struct {
+		text string
+		ok   bool
+		read func(string) error
+	}{
+		{"300ms", true, func(s string) error { _, err := Duration(s); return err }},
+		{"300", false, func(s string) error { _, err := Duration(s); return err }},
+		{"-1s", false, func(s string) error { _, err := Duration(s); return err }},
+		{"64KiB", true, func(s string) error { _, err := Size(s); return err }},
+		{"64kb", false, func(s string) error { _, err := Size(s); return err }},
+		{"", false, func(s string) error { _, err := Size(s); return err }},
+		{"1.5M", true, func(s string) error { _, err := Tokens(s); return err }},
+		{"20/s", true, func(s string) error { _, err := Rate(s); return err }},
+		{"20", false, func(s string) error { _, err := Rate(s); return err }},
+		{"1e999", false, func(s string) error { _, err := Number(s); return err }},
+		{":80", true, func(s string) error { _, err := Address(s); return err }},
+		{"x:99999", false, func(s string) error { _, err := Address(s); return err }},
+		{"-", true, func(s string) error { _, err := Instant(s); return err }},
+		{"2026-03-01T05:00:00Z", true, func(s string) error { _, err := Instant(s); return err }},
+		{"yesterday", false, func(s string) error { _, err := Instant(s); return err }},
+	} {
+		if err := c.read(c.text); (err == nil) != c.ok {
+			t.Errorf("%q: %v", c.text, err)
+		}
+	}
+}
+
+func ExampleParse() {
+	_, err := Parse("router.conf", "list engines.list\nclass ask\n    aim fast\nkind e\n    role both\n")
+	fmt.Println(err)
+	// Output: router.conf:3: aim: found "fast", expected a time with its unit, such as 300ms or 1.5s
+}
+
+func FuzzParseLines(f *testing.F) {
+	f.Add(sound)
+	f.Add("a \"b\\\n#c\r\n\t\"")
+	f.Fuzz(func(t *testing.T, text string) {
+		lines, _ := ParseLines("f", text)
+		for _, l := range lines {
+			if len(l.Words) == 0 || l.Number < 1 {
+				t.Fatalf("an empty line came out of %q", text)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/config/settings.go
@@ -0,0 +1,559 @@
+package config
+
+import (
+	"fmt"
+	"io"
+	"log/slog"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"mintdoor/decide"
+)
+
+// Class is one class of requests with its name.
+type Class struct {
+	Name string
+	decide.Class
+	MaxTokens int // output limit of a request that names none
+}
+
+// Kind is one kind of engine with its name.
+type Kind struct {
+	Name string
+	decide.Kind
+}
+
+// Tenant is one tenant with its name.
+type Tenant struct {
+	Name string
+	decide.Tenant
+}
+
+// Settings is everything that a router is told at its start. It is not changed afterwards.
+type Settings struct {
+	// The router itself.
+	Name         string
+	Listen       string
+	Model        string
+	ModelVersion string
+	Routers      int
+	Index        int
+	Zone         string
+	List         string
+	ListEvery    time.Duration
+
+	// Bounds.
+	MaxOpen       int
+	MaxIdle       int
+	MaxBody       int64
+	MaxHeader     int64
+	HeaderWithin  time.Duration
+	MaxContext    float64
+	BytesPerToken float64
+	StreamParts   int
+	ClientStall   time.Duration
+	StreamIdle    time.Duration
+	DrainLimit    time.Duration
+
+	// Towards engines.
+	DialTimeout    time.Duration
+	EngineConns    int
+	ConnIdle       time.Duration
+	ReleaseWithin  time.Duration
+	ProbeWithin    time.Duration
+	AttemptLimit   int
+	Probing        bool
+	MayReserve     bool
+	Resume         bool
+	DecodeReads    bool
+	DefaultClass   string
+	DefaultTenant  string
+	LogFormat      string
+	LogLevel       slog.Level
+	LogSample      int
+	OverShareWorth float64
+
+	// The rules' figures.
+	AnswerGrace   time.Duration
+	DrainGrace    time.Duration
+	LetGoWithin   time.Duration
+	FallMultiple  float64
+	FallWithin    time.Duration
+	StartCapacity float64
+	ColdFor       time.Duration
+	MaxRetryAfter time.Duration
+
+	// Fees of the module, in parts of the result.
+	ProbeFee float64
+
+	Classes []Class
+	Kinds   []Kind
+	Tenants []Tenant
+}
+
+// Decide returns the decision module's part of the settings.
+func (s *Settings) Decide(zone func(string) int) *decide.Settings {
+	d := &decide.Settings{
+		Routers: s.Routers, Index: s.Index, Zone: zone(s.Zone), OverShareWorth: s.OverShareWorth,
+		Probing: s.Probing, MayCancel: true, MayReserve: s.MayReserve, Resume: s.Resume,
+		WritersRead: s.DecodeReads, MaxAttempts: s.AttemptLimit,
+		MaxRetryAfter: decide.Duration(s.MaxRetryAfter), DialTimeout: decide.Duration(s.DialTimeout),
+		AnswerGrace: decide.Duration(s.AnswerGrace), DrainGrace: decide.Duration(s.DrainGrace),
+		LetGoWithin: decide.Duration(s.LetGoWithin), FallMultiple: s.FallMultiple,
+		OverloadFor: decide.Duration(s.FallWithin), StartCapacity: s.StartCapacity,
+		ColdFor: decide.Duration(s.ColdFor), ProbeFee: s.ProbeFee,
+	}
+	for _, c := range s.Classes {
+		d.Classes = append(d.Classes, c.Class)
+	}
+	for _, k := range s.Kinds {
+		d.Kinds = append(d.Kinds, k.Kind)
+	}
+	for _, t := range s.Tenants {
+		d.Tenants = append(d.Tenants, t.Tenant)
+	}
+	return d
+}
+
+// ClassIndex returns the index of a class by name, or -1.
+func (s *Settings) ClassIndex(name string) int {
+	for i := range s.Classes {
+		if s.Classes[i].Name == name {
+			return i
+		}
+	}
+	return -1
+}
+
+// TenantIndex returns the index of a tenant by name, or -1.
+func (s *Settings) TenantIndex(name string) int {
+	for i := range s.Tenants {
+		if s.Tenants[i].Name == name {
+			return i
+		}
+	}
+	return -1
+}
+
+// KindIndex returns the index of a kind by name, or -1.
+func (s *Settings) KindIndex(name string) int {
+	for i := range s.Kinds {
+		if s.Kinds[i].Name == name {
+			return i
+		}
+	}
+	return -1
+}
+
+// target is where a directive of the present section writes.
+type target struct {
+	set    *Settings
+	class  *Class
+	kind   *Kind
+	tenant *Tenant
+}
+
+// directive is one row of the table of settings: everything that the parser, the check, the defaults and
+// the page know of it.
+type directive struct {
+	section string // router, class, kind or tenant
+	name    string
+	def     string // the default as it would be written; "" where there is none
+	must    bool   // has to be given
+	doc     string
+	put     func(t *target, value string) error
+}
+
+// into makes a put of a reader and a place.
+func into[T any](read func(string) (T, error), place func(*target) *T) func(*target, string) error {
+	return func(t *target, value string) error {
+		v, err := read(value)
+		if err == nil {
+			*place(t) = v
+		}
+		return err
+	}
+}
+
+func text(s string) (string, error) { return s, nil }
+
+func span(s string) (decide.Duration, error) {
+	d, err := Duration(s)
+	return decide.Duration(d), err
+}
+
+// within makes a reader that also keeps a value in bounds.
+func within[T int | int64 | float64 | time.Duration](read func(string) (T, error), low, high T) func(string) (T, error) {
+	return func(s string) (T, error) {
+		v, err := read(s)
+		if err == nil && (v < low || v > high) {
+			err = expected(s, fmt.Sprintf("%v to %v", low, high))
+		}
+		return v, err
+	}
+}
+
+var directives = []directive{
+	{"router", "name", "router", false, "name of this router in logs and in ids sent to engines",
+		into(text, func(t *target) *string { return &t.set.Name })},
+	{"router", "listen", "127.0.0.1:8080", false, "address of the KServe V2 front",
+		into(Address, func(t *target) *string { return &t.set.Listen })},
+	{"router", "model", "helpline", false, "name of the model that is served",
+		into(text, func(t *target) *string { return &t.set.Model })},
+	{"router", "model-version", "1", false, "its version",
+		into(text, func(t *target) *string { return &t.set.ModelVersion })},
+	{"router", "routers", "1", false, "how many routers share the engines; bounds what each may send",
+		into(within(Count, 1, 100000), func(t *target) *int { return &t.set.Routers })},
+	{"router", "index", "0", false, "which of them this one is, from 0",
+		into(Count, func(t *target) *int { return &t.set.Index })},
+	{"router", "zone", "", false, "zone (hall) of this router",
+		into(text, func(t *target) *string { return &t.set.Zone })},
+	{"router", "list", "", true, "file with the list of engines",
+		into(text, func(t *target) *string { return &t.set.List })},
+	{"router", "list-every", "200ms", false, "how often the list is looked at for changes",
+		into(within(Duration, time.Millisecond, time.Minute), func(t *target) *time.Duration { return &t.set.ListEvery })},
+
+	{"router", "max-open", "20000", false, "requests that may be open at once; more are refused at the door",
+		into(within(Count, 1, 1e6), func(t *target) *int { return &t.set.MaxOpen })},
+	{"router", "max-connections", "20000", false, "client connections that may be open at once",
+		into(within(Count, 1, 1e6), func(t *target) *int { return &t.set.MaxIdle })},
+	{"router", "max-body", "1MiB", false, "bytes of a request's body",
+		into(within(Size, 1<<10, 1<<30), func(t *target) *int64 { return &t.set.MaxBody })},
+	{"router", "max-header", "16KiB", false, "bytes of a request's headers",
+		into(within(Size, 1<<10, 1<<20), func(t *target) *int64 { return &t.set.MaxHeader })},
+	{"router", "header-within", "5s", false, "time for a client to send its headers",
+		into(within(Duration, 10*time.Millisecond, time.Minute), func(t *target) *time.Duration { return &t.set.HeaderWithin })},
+	{"router", "max-context", "32k", false, "tokens of prompt and answer that an engine can hold",
+		into(Tokens, func(t *target) *float64 { return &t.set.MaxContext })},
+	{"router", "bytes-per-token", "4", false, "guess of a prompt's tokens where the client does not tell them",
+		into(within(Number, 0.1, 1000), func(t *target) *float64 { return &t.set.BytesPerToken })},
+	{"router", "stream-parts", "64", false, "tokens held for a client that reads slowly, before its engine waits",
+		into(within(Count, 1, 4096), func(t *target) *int { return &t.set.StreamParts })},
+	{"router", "client-stall", "10s", false, "a client that takes nothing for so long has left",
+		into(within(Duration, 10*time.Millisecond, time.Hour), func(t *target) *time.Duration { return &t.set.ClientStall })},
+	{"router", "stream-idle", "10s", false, "a stream without a token for so long is broken",
+		into(within(Duration, 10*time.Millisecond, time.Hour), func(t *target) *time.Duration { return &t.set.StreamIdle })},
+	{"router", "drain-limit", "30s", false, "time for open requests at a stop, before they are failed",
+		into(Duration, func(t *target) *time.Duration { return &t.set.DrainLimit })},
+
+	{"router", "dial-timeout", "250ms", false, "a connection to an engine has to stand within this",
+		into(within(Duration, time.Millisecond, time.Minute), func(t *target) *time.Duration { return &t.set.DialTimeout })},
+	{"router", "engine-connections", "512", false, "connections to one engine at most; more count as not connected",
+		into(within(Count, 1, 1e6), func(t *target) *int { return &t.set.EngineConns })},
+	{"router", "connection-idle", "15s", false, "an idle connection to an engine is closed after this",
+		into(Duration, func(t *target) *time.Duration { return &t.set.ConnIdle })},
+	{"router", "release-within", "250ms", false, "time for an engine to take a release",
+		into(Duration, func(t *target) *time.Duration { return &t.set.ReleaseWithin })},
+	{"router", "probe-within", "250ms", false, "time for an engine to answer a probe",
+		into(Duration, func(t *target) *time.Duration { return &t.set.ProbeWithin })},
+	{"router", "attempts", "6", false, "attempts for a request at most, both stages together",
+		into(within(Count, 1, 64), func(t *target) *int { return &t.set.AttemptLimit })},
+	{"router", "probing", "off", false, "probe engines; for those that tell their load only so",
+		into(Switch, func(t *target) *bool { return &t.set.Probing })},
+	{"router", "probe-fee", "0.0026", false, "price of one probe a request, as a part of the result; paces probes",
+		into(Number, func(t *target) *float64 { return &t.set.ProbeFee })},
+	{"router", "places-ahead", "on", false, "engines can hold a place for a request ahead",
+		into(Switch, func(t *target) *bool { return &t.set.MayReserve })},
+	{"router", "resume", "off", false, "a broken stream can be resumed elsewhere by its client",
+		into(Switch, func(t *target) *bool { return &t.set.Resume })},
+	{"router", "decode-reads", "off", false, "a decode engine reads a prompt itself when no state waits",
+		into(Switch, func(t *target) *bool { return &t.set.DecodeReads })},
+	{"router", "default-class", "", false, "class of a request that names none; empty: the first",
+		into(text, func(t *target) *string { return &t.set.DefaultClass })},
+	{"router", "default-tenant", "", false, "tenant of a request that names none; empty: none",
+		into(text, func(t *target) *string { return &t.set.DefaultTenant })},
+	{"router", "over-share-worth", "0.1", false, "worth of a request beyond its tenant's share, as part of the usual",
+		into(within(Number, 0, 1), func(t *target) *float64 { return &t.set.OverShareWorth })},
+	{"router", "log-format", "text", false, "text or json",
+		into(func(s string) (string, error) { return Choice(s, "text", "json") },
+			func(t *target) *string { return &t.set.LogFormat })},
+	{"router", "log-level", "info", false, "debug, info, warn or error",
+		into(func(s string) (slog.Level, error) {
+			var l slog.Level
+			if _, err := Choice(s, "debug", "info", "warn", "error"); err != nil {
+				return l, err
+			}
+			return l, l.UnmarshalText([]byte(s))
+		}, func(t *target) *slog.Level { return &t.set.LogLevel })},
+	{"router", "log-sample", "100", false, "lines a second of one kind that are written; more are counted",
+		into(within(Count, 1, 1e6), func(t *target) *int { return &t.set.LogSample })},
+
+	{"router", "answer-grace", "16ms", false, "rule 1: a final answer may come so long after the deadline",
+		into(Duration, func(t *target) *time.Duration { return &t.set.AnswerGrace })},
+	{"router", "drain-grace", "1s", false, "rule 3: nothing new to an engine so long after the list drains it",
+		into(Duration, func(t *target) *time.Duration { return &t.set.DrainGrace })},
+	{"router", "let-go-within", "300ms", false, "rule 5: a held state is used or let go within this",
+		into(within(Duration, time.Millisecond, time.Hour), func(t *target) *time.Duration { return &t.set.LetGoWithin })},
+	{"router", "fall-multiple", "3", false, "rule 4: a cold engine falls when sent this multiple of its capacity",
+		into(within(Number, 1, 1000), func(t *target) *float64 { return &t.set.FallMultiple })},
+	{"router", "fall-within", "2s", false, "rule 4: for this long",
+		into(within(Duration, time.Millisecond, time.Hour), func(t *target) *time.Duration { return &t.set.FallWithin })},
+	{"router", "start-capacity", "0.25", false, "part of its capacity with which an engine starts",
+		into(within(Number, 0.001, 1), func(t *target) *float64 { return &t.set.StartCapacity })},
+	{"router", "cold-for", "13s", false, "an engine is warm after this",
+		into(Duration, func(t *target) *time.Duration { return &t.set.ColdFor })},
+	{"router", "retry-after", "500ms", false, "longest time that clients are told to stay away; 0s: no advice",
+		into(Duration, func(t *target) *time.Duration { return &t.set.MaxRetryAfter })},
+
+	{"class", "aim", "1s", false, "first token wanted within this",
+		into(span, func(t *target) *decide.Duration { return &t.class.Aim })},
+	{"class", "aim-per-1000", "40ms", false, "and so much more for each thousand prompt tokens",
+		into(span, func(t *target) *decide.Duration { return &t.class.AimPerK })},
+	{"class", "deadline", "4s", false, "given up after this without a first token, where the client tells no deadline",
+		into(span, func(t *target) *decide.Duration { return &t.class.Deadline })},
+	{"class", "token-aim", "60ms", false, "wanted time between tokens",
+		into(span, func(t *target) *decide.Duration { return &t.class.TokenAim })},
+	{"class", "worth", "1", false, "worth of a request in time",
+		into(Number, func(t *target) *float64 { return &t.class.Worth })},
+	{"class", "late-worth", "0.2", false, "part of its worth when it is late",
+		into(within(Number, 0, 1), func(t *target) *float64 { return &t.class.LateWorth })},
+	{"class", "repeat", "safe", false, "safe, keyed or unsafe: what a repeat does after an attempt that may have run",
+		into(func(s string) (decide.Repeat, error) {
+			_, err := Choice(s, "safe", "keyed", "unsafe")
+			return map[string]decide.Repeat{"safe": decide.Safe, "keyed": decide.Keyed, "unsafe": decide.Unsafe}[s], err
+		}, func(t *target) *decide.Repeat { return &t.class.Repeat })},
+	{"class", "scope", "all", false, "keyed: engines that drop repeats: all, or those of one zone or cell",
+		into(func(s string) (decide.Scope, error) {
+			_, err := Choice(s, "all", "zone", "cell")
+			return map[string]decide.Scope{"zone": decide.ScopeZone, "cell": decide.ScopeCell}[s], err
+		}, func(t *target) *decide.Scope { return &t.class.Scope })},
+	{"class", "window", "5s", false, "keyed: how long repeats are dropped",
+		into(span, func(t *target) *decide.Duration { return &t.class.Window })},
+	{"class", "max-tokens", "500", false, "output limit of a request that names none",
+		into(within(Count, 1, 1e6), func(t *target) *int { return &t.class.MaxTokens })},
+
+	{"kind", "role", "", true, "prefill, decode or both",
+		into(func(s string) (decide.Role, error) {
+			_, err := Choice(s, "prefill", "decode", "both")
+			return map[string]decide.Role{"prefill": decide.Reader, "decode": decide.Writer, "both": decide.Both}[s], err
+		}, func(t *target) *decide.Role { return &t.kind.Role })},
+	{"kind", "memory", "0", false, "tokens that fit into its memory; 0: not told",
+		into(Tokens, func(t *target) *float64 { return &t.kind.Memory })},
+
+	{"tenant", "rate", "0/s", false, "requests a second within its share, over all routers; 0/s: not told",
+		into(Rate, func(t *target) *float64 { return &t.tenant.PerSecond })},
+}
+
+// sections are the words that begin a section and take its name.
+var sections = []string{"class", "kind", "tenant"}
+
+// Load reads and checks a settings file. Every error of the file comes back at once, as Errors.
+func Load(path string) (*Settings, error) {
+	lines, errs := ReadLines(path)
+	if lines == nil && len(errs) > 0 {
+		return nil, errs
+	}
+	s, wrong := build(path, lines)
+	if err := append(errs, wrong...).Err(); err != nil {
+		return nil, err
+	}
+	if s.List != "" && !filepath.IsAbs(s.List) {
+		s.List = filepath.Join(filepath.Dir(path), s.List)
+	}
+	return s, nil
+}
+
+// Parse reads settings from a text; the list's path stays as it is written.
+func Parse(file, text string) (*Settings, error) {
+	lines, errs := ParseLines(file, text)
+	s, wrong := build(file, lines)
+	if err := append(errs, wrong...).Err(); err != nil {
+		return nil, err
+	}
+	return s, nil
+}
+
+type given struct {
+	line  *Line
+	scope string // section and name, for doubles
+}
+
+func build(file string, lines []Line) (*Settings, Errors) {
+	var errs Errors
+	s := &Settings{}
+	now := target{set: s}
+	defaults(&now, "router")
+	section, scope := "router", "router"
+	seen := map[string]given{}
+	type opened struct {
+		section, scope string
+		line           *Line
+	}
+	var open []opened
+	for i := range lines {
+		l := &lines[i]
+		if contains(sections, l.Name()) {
+			section = l.Name()
+			if len(l.Words) != 2 {
+				errs.Add(l, "%s has %d values, expected its name", section, len(l.Words)-1)
+				scope = fmt.Sprintf("%s line %d", section, l.Number)
+			} else {
+				scope = section + " " + l.Words[1].Text
+			}
+			if first, ok := seen[scope]; ok {
+				errs.Add(l, "%s stands twice, first at %s:%d", scope, first.line.File, first.line.Number)
+			}
+			seen[scope] = given{line: l}
+			open = append(open, opened{section, scope, l})
+			begin(s, &now, section, strings.TrimPrefix(scope, section+" "))
+			continue
+		}
+		if l.Name() == "router" && len(l.Words) == 1 {
+			section, scope = "router", "router"
+			continue
+		}
+		d := find(section, l.Name())
+		if d == nil {
+			errs.Add(l, "%s", unknown(section, l.Name()))
+			continue
+		}
+		if len(l.Words) != 2 {
+			errs.Add(l, "%s has %d values, expected one: %s", d.name, len(l.Words)-1, d.doc)
+			continue
+		}
+		key := scope + "/" + d.name
+		if first, ok := seen[key]; ok {
+			errs.Add(l, "%s stands twice in %s, first at %s:%d", d.name, scope, first.line.File, first.line.Number)
+			continue
+		}
+		seen[key] = given{line: l}
+		if err := d.put(&now, l.Words[1].Text); err != nil {
+			errs.Add(l, "%s: %v", d.name, err)
+		}
+	}
+	whole := &Line{File: file}
+	for _, d := range directives {
+		if !d.must {
+			continue
+		}
+		if d.section == "router" {
+			if _, ok := seen["router/"+d.name]; !ok {
+				errs.Add(whole, "%s is missing, expected: %s", d.name, d.doc)
+			}
+			continue
+		}
+		for _, o := range open {
+			if _, ok := seen[o.scope+"/"+d.name]; o.section == d.section && !ok {
+				errs.Add(o.line, "%s has no %s, expected: %s", o.scope, d.name, d.doc)
+			}
+		}
+	}
+	errs = append(errs, s.check(whole, seen)...)
+	return s, errs
+}
+
+// check looks at what no single line can show.
+func (s *Settings) check(whole *Line, seen map[string]given) (errs Errors) {
+	at := func(key string) *Line {
+		if g, ok := seen[key]; ok {
+			return g.line
+		}
+		return whole
+	}
+	if len(s.Classes) == 0 {
+		errs.Add(whole, "no class is given, expected at least one section 'class NAME'")
+	}
+	roles := decide.Role(0)
+	for _, k := range s.Kinds {
+		roles |= k.Role
+	}
+	if roles != decide.Both {
+		errs.Add(whole, "the kinds of engines can't do both stages, expected sections 'kind NAME' with prefill and decode, or both")
+	}
+	if s.Index >= s.Routers {
+		errs.Add(at("router/index"), "index: found %d, expected less than routers, %d", s.Index, s.Routers)
+	}
+	if s.DefaultClass != "" && s.ClassIndex(s.DefaultClass) < 0 {
+		errs.Add(at("router/default-class"), "default-class: found %q, expected the name of a class", s.DefaultClass)
+	}
+	if s.DefaultTenant != "" && s.TenantIndex(s.DefaultTenant) < 0 {
+		errs.Add(at("router/default-tenant"), "default-tenant: found %q, expected the name of a tenant", s.DefaultTenant)
+	}
+	for _, c := range s.Classes {
+		if c.Deadline < c.Aim {
+			errs.Add(at("class "+c.Name), "class %s: its deadline %v is under its aim %v", c.Name,
+				time.Duration(c.Deadline), time.Duration(c.Aim))
+		}
+	}
+	return errs
+}
+
+func begin(s *Settings, t *target, section, name string) {
+	t.class, t.kind, t.tenant = nil, nil, nil
+	switch section {
+	case "class":
+		s.Classes = append(s.Classes, Class{Name: name})
+		t.class = &s.Classes[len(s.Classes)-1]
+	case "kind":
+		s.Kinds = append(s.Kinds, Kind{Name: name})
+		t.kind = &s.Kinds[len(s.Kinds)-1]
+	case "tenant":
+		s.Tenants = append(s.Tenants, Tenant{Name: name})
+		t.tenant = &s.Tenants[len(s.Tenants)-1]
+	}
+	defaults(t, section)
+}
+
+func defaults(t *target, section string) {
+	for _, d := range directives {
+		if d.section == section && d.def != "" {
+			if err := d.put(t, d.def); err != nil {
+				panic(fmt.Sprintf("config: default of %s: %v", d.name, err)) // a slip in the table
+			}
+		}
+	}
+}
+
+func find(section, name string) *directive {
+	for i := range directives {
+		if directives[i].section == section && directives[i].name == name {
+			return &directives[i]
+		}
+	}
+	return nil
+}
+
+func unknown(section, name string) string {
+	known := append([]string{"include", "router"}, sections...)
+	for _, d := range directives {
+		if d.section == section {
+			known = append(known, d.name)
+		} else if d.name == name {
+			return fmt.Sprintf("found %q in section %s, expected it in section %s", name, section, d.section)
+		}
+	}
+	if n := nearest(name, known); n != "" {
+		return fmt.Sprintf("found %q, expected perhaps %q", name, n)
+	}
+	return fmt.Sprintf("found %q, expected a directive of section %s ('mintdoor config --defaults' lists them)", name, section)
+}
+
+// WriteDefaults prints every setting with its default and its meaning, as a file that could be read.
+func WriteDefaults(w io.Writer) error {
+	section := ""
+	for _, d := range directives {
+		if d.section != section {
+			section = d.section
+			head := section
+			if section != "router" {
+				head += " NAME"
+			}
+			if _, err := fmt.Fprintf(w, "\n%s\n", head); err != nil {
+				return err
+			}
+		}
+		value := d.def
+		mark := ""
+		switch {
+		case d.must:
+			value, mark = "?", " (must be given)"
+		case value == "":
+			value = `""`
+		}
+		if _, err := fmt.Fprintf(w, "    %-20s %-16s # %s%s\n", d.name, value, d.doc, mark); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/config/values.go
@@ -0,0 +1,150 @@
+package config
+
+import (
+	"fmt"
+	"math"
+	"net"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// The readers of single values. Each error says what was found and what is expected.
+
+func expected(found, what string) error { return fmt.Errorf("found %q, expected %s", found, what) }
+
+// Duration reads a time with its unit, such as 300ms or 1.5s. It is not negative.
+func Duration(s string) (time.Duration, error) {
+	d, err := time.ParseDuration(s)
+	if err != nil || d < 0 {
+		return 0, expected(s, "a time with its unit, such as 300ms or 1.5s")
+	}
+	return d, nil
+}
+
+// scaled reads a number with one of the suffixes; "" is among them with factor 1.
+func scaled(s string, factors map[string]float64) (float64, bool) {
+	number := strings.TrimRightFunc(s, func(r rune) bool { return r < '0' || r > '9' })
+	factor, ok := factors[s[len(number):]]
+	f, err := strconv.ParseFloat(number, 64)
+	if !ok || err != nil || f < 0 || math.IsInf(f, 0) || math.IsNaN(f) {
+		return 0, false
+	}
+	return f * factor, true
+}
+
+// Size reads bytes: 512, 64KiB, 1MiB, 2GiB.
+func Size(s string) (int64, error) {
+	f, ok := scaled(s, map[string]float64{"": 1, "B": 1, "KiB": 1 << 10, "MiB": 1 << 20, "GiB": 1 << 30})
+	if !ok || f > math.MaxInt64/2 {
+		return 0, expected(s, "a size, such as 512, 64KiB or 1MiB")
+	}
+	return int64(f), nil
+}
+
+// Tokens reads a count of tokens: 800, 280k, 1.5M.
+func Tokens(s string) (float64, error) {
+	f, ok := scaled(s, map[string]float64{"": 1, "k": 1e3, "M": 1e6})
+	if !ok {
+		return 0, expected(s, "a count of tokens, such as 800, 280k or 1.5M")
+	}
+	return f, nil
+}
+
+// Number reads a number that is not negative.
+func Number(s string) (float64, error) {
+	f, ok := scaled(s, map[string]float64{"": 1})
+	if !ok {
+		return 0, expected(s, "a number that is not negative")
+	}
+	return f, nil
+}
+
+// Count reads a whole number that is not negative.
+func Count(s string) (int, error) {
+	n, err := strconv.ParseUint(s, 10, 31)
+	if err != nil {
+		return 0, expected(s, "a whole number that is not negative")
+	}
+	return int(n), nil
+}
+
+// Rate reads events a second: 20/s, 0.5/s.
+func Rate(s string) (float64, error) {
+	f, ok := scaled(s, map[string]float64{"/s": 1})
+	if !ok {
+		return 0, expected(s, "a rate, such as 20/s")
+	}
+	return f, nil
+}
+
+// Switch reads on or off.
+func Switch(s string) (bool, error) {
+	switch s {
+	case "on":
+		return true, nil
+	case "off":
+		return false, nil
+	}
+	return false, expected(s, "on or off")
+}
+
+// Address reads host:port.
+func Address(s string) (string, error) {
+	host, port, err := net.SplitHostPort(s)
+	if n, e := strconv.ParseUint(port, 10, 16); err != nil || e != nil || host == "" && n == 0 {
+		return "", expected(s, "an address with its port, such as 127.0.0.1:8080")
+	}
+	return s, nil
+}
+
+// Choice reads one of some words.
+func Choice(s string, of ...string) (string, error) {
+	if contains(of, s) {
+		return s, nil
+	}
+	return "", expected(s, "one of "+strings.Join(of, ", "))
+}
+
+// Instant reads a point of wall time (RFC 3339), or "-" for one long ago, the zero time.
+func Instant(s string) (time.Time, error) {
+	if s == "-" {
+		return time.Time{}, nil
+	}
+	t, err := time.Parse(time.RFC3339Nano, s)
+	if err != nil {
+		return t, expected(s, "a time such as 2026-03-01T05:00:00Z, or - for long ago")
+	}
+	return t, nil
+}
+
+// nearest returns the known word closest to s by edit distance, or "" when none is near.
+func nearest(s string, known []string) string {
+	best, at := "", 3
+	for _, k := range known {
+		if d := distance(s, k); d < at {
+			best, at = k, d
+		}
+	}
+	return best
+}
+
+// distance is the Levenshtein distance of two short words.
+func distance(a, b string) int {
+	row := make([]int, len(b)+1)
+	for j := range row {
+		row[j] = j
+	}
+	for i := 1; i <= len(a); i++ {
+		diagonal := row[0]
+		row[0] = i
+		for j := 1; j <= len(b); j++ {
+			next := diagonal
+			if a[i-1] != b[j-1] {
+				next = min(diagonal, row[j], row[j-1]) + 1
+			}
+			diagonal, row[j] = row[j], next
+		}
+	}
+	return row[len(b)]
+}
