--- /dev/null
+++ b/internal/front/rest/rest.go
@@ -0,0 +1,408 @@
+// Package rest is the KServe V2 front over HTTP: health, metadata, infer and the generate extension of
+// the Open Inference Protocol's HTTP/REST specification. docs/kserve.md has the table of what is done.
+package rest
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"mintdoor/internal/config"
+	"mintdoor/internal/front"
+	"mintdoor/internal/kserve"
+	"mintdoor/internal/router"
+
+	"golang.org/x/net/netutil"
+)
+
+const (
+	maxElements = 1 << 16 // of an input tensor
+	textInput   = "text_input"
+	textOutput  = "text_output"
+)
+
+// Front serves the protocol for one model.
+type Front struct {
+	set     *config.Settings
+	core    front.Core
+	meaning *front.Meaning
+	log     *slog.Logger
+	version string
+	mux     *http.ServeMux
+}
+
+// New returns a front over a core. version is the server's, for its metadata.
+func New(set *config.Settings, core front.Core, log *slog.Logger, version string) *Front {
+	f := &Front{set: set, core: core, meaning: front.NewMeaning(set), log: log, version: version,
+		mux: http.NewServeMux()}
+	f.route("GET", "/v2", f.serverMetadata)
+	f.route("GET", "/v2/health/live", f.live)
+	f.route("GET", "/v2/health/ready", f.ready)
+	for _, model := range []string{"/v2/models/{model}", "/v2/models/{model}/versions/{version}"} {
+		f.route("GET", model, f.modelMetadata)
+		f.route("GET", model+"/ready", f.modelReady)
+		f.route("POST", model+"/infer", f.infer)
+		f.route("POST", model+"/generate", f.generate)
+		f.route("POST", model+"/generate_stream", f.generateStream)
+	}
+	f.mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
+		f.fail(w, r, &front.Error{Trouble: front.NotFound, Text: "no such path"})
+	})
+	return f
+}
+
+// route serves a path by one method; by any other it answers 405 in the protocol's form.
+func (f *Front) route(method, path string, h http.HandlerFunc) {
+	f.mux.HandleFunc(method+" "+path, h)
+	f.mux.HandleFunc(path, func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Allow", method)
+		f.write(w, http.StatusMethodNotAllowed, kserve.ErrorResponse{Error: "method " + r.Method + " is not allowed, use " + method})
+	})
+}
+
+func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) { f.mux.ServeHTTP(w, r) }
+
+// Serve serves a listener until ctx ends; then it waits, at most within, for answers under way.
+func (f *Front) Serve(ctx context.Context, l net.Listener, within time.Duration) error {
+	s := &http.Server{
+		Handler:           f,
+		ReadHeaderTimeout: f.set.HeaderWithin,
+		MaxHeaderBytes:    int(f.set.MaxHeader),
+		ErrorLog:          slog.NewLogLogger(f.log.Handler(), slog.LevelDebug),
+	}
+	served := make(chan error, 1)
+	go func() { served <- s.Serve(netutil.LimitListener(l, f.set.MaxIdle)) }()
+	select {
+	case err := <-served:
+		return fmt.Errorf("front on %s: %w", l.Addr(), err)
+	case <-ctx.Done():
+	}
+	stop, cancel := context.WithTimeout(context.WithoutCancel(ctx), within)
+	defer cancel()
+	if err := s.Shutdown(stop); err != nil {
+		s.Close()
+	}
+	<-served
+	return nil
+}
+
+// status is the HTTP status of each kind of trouble.
+var status = map[front.Trouble]int{
+	front.Bad:         http.StatusBadRequest,
+	front.NotFound:    http.StatusNotFound,
+	front.TooLarge:    http.StatusRequestEntityTooLarge,
+	front.Busy:        http.StatusServiceUnavailable,
+	front.Unavailable: http.StatusServiceUnavailable,
+	front.Broken:      http.StatusBadGateway,
+	front.TimedOut:    http.StatusGatewayTimeout,
+	front.ClientLeft:  http.StatusBadGateway,
+}
+
+// fail answers with the specification's error object.
+func (f *Front) fail(w http.ResponseWriter, r *http.Request, e *front.Error) {
+	if e.RetryAfter > 0 {
+		// RFC 9110, section 10.2.3, knows whole seconds only; the exact time stands beside it.
+		w.Header().Set("Retry-After", strconv.Itoa(int(math.Ceil(e.RetryAfter.Seconds()))))
+		w.Header().Set("Retry-After-Ms", strconv.FormatInt(e.RetryAfter.Milliseconds(), 10))
+	}
+	if e.Trouble == front.Bad || e.Trouble == front.TooLarge {
+		f.log.Info("bad request", "path", r.URL.Path, "from", r.RemoteAddr, "err", e.Text)
+	}
+	f.write(w, status[e.Trouble], kserve.ErrorResponse{Error: e.Text})
+}
+
+func (f *Front) write(w http.ResponseWriter, code int, v any) {
+	body, err := json.Marshal(v)
+	if err != nil {
+		code, body = http.StatusInternalServerError, []byte(`{"error":"the answer could not be encoded"}`)
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(code)
+	w.Write(body)
+}
+
+func (f *Front) live(w http.ResponseWriter, r *http.Request) {
+	f.write(w, http.StatusOK, map[string]bool{"live": true})
+}
+
+func (f *Front) ready(w http.ResponseWriter, r *http.Request) {
+	if !f.core.Ready() {
+		f.fail(w, r, &front.Error{Trouble: front.Unavailable, Text: "not ready"})
+		return
+	}
+	f.write(w, http.StatusOK, map[string]bool{"ready": true})
+}
+
+func (f *Front) serverMetadata(w http.ResponseWriter, r *http.Request) {
+	f.write(w, http.StatusOK, kserve.ServerMetadata{Name: "mintdoor", Version: f.version,
+		Extensions: []string{"generate"}})
+}
+
+func (f *Front) modelMetadata(w http.ResponseWriter, r *http.Request) {
+	if e := f.meaning.Model(r.PathValue("model"), r.PathValue("version")); e != nil {
+		f.fail(w, r, e)
+		return
+	}
+	one := []int64{1}
+	f.write(w, http.StatusOK, kserve.ModelMetadata{Name: f.set.Model, Versions: []string{f.set.ModelVersion},
+		Platform: "mintdoor_disaggregated",
+		Inputs: []kserve.TensorMetadata{{Name: textInput, Datatype: "BYTES", Shape: one},
+			{Name: front.ParamMaxTokens, Datatype: "INT32", Shape: one}},
+		Outputs: []kserve.TensorMetadata{{Name: textOutput, Datatype: "BYTES", Shape: one}}})
+}
+
+func (f *Front) modelReady(w http.ResponseWriter, r *http.Request) {
+	if e := f.meaning.Model(r.PathValue("model"), r.PathValue("version")); e != nil {
+		f.fail(w, r, e)
+		return
+	}
+	if !f.core.Ready() {
+		f.fail(w, r, &front.Error{Trouble: front.Unavailable, Text: "the model is not ready"})
+		return
+	}
+	f.write(w, http.StatusOK, map[string]any{"name": f.set.Model, "ready": true})
+}
+
+// body decodes a request's body within its bounds of bytes and time.
+func (f *Front) body(w http.ResponseWriter, r *http.Request, v any) *front.Error {
+	if r.ContentLength > f.set.MaxBody {
+		w.Header().Set("Connection", "close")
+		return f.tooLarge()
+	}
+	control := http.NewResponseController(w)
+	control.SetReadDeadline(time.Now().Add(f.set.HeaderWithin))
+	err := kserve.Decode(http.MaxBytesReader(w, r.Body, f.set.MaxBody), v)
+	control.SetReadDeadline(time.Time{}) // from here on reading only tells whether the client is there
+	var large *http.MaxBytesError
+	switch {
+	case err == nil:
+		return nil
+	case errors.As(err, &large):
+		return f.tooLarge()
+	default:
+		return &front.Error{Trouble: front.Bad, Text: "the body is malformed: " + err.Error()}
+	}
+}
+
+func (f *Front) tooLarge() *front.Error {
+	return &front.Error{Trouble: front.TooLarge, Text: fmt.Sprintf("the body is larger than %d bytes", f.set.MaxBody)}
+}
+
+// submit decodes nothing more: it hands an input to the core.
+func (f *Front) submit(w http.ResponseWriter, r *http.Request, in *front.Input) *router.Request {
+	in.Model, in.Version = r.PathValue("model"), r.PathValue("version")
+	job, e := f.meaning.Job(in, time.Now())
+	if e == nil {
+		q, err := f.core.Submit(job)
+		if err == nil {
+			return q
+		}
+		e = front.Submitted(err)
+	}
+	f.fail(w, r, e)
+	return nil
+}
+
+func (f *Front) infer(w http.ResponseWriter, r *http.Request) {
+	var body kserve.InferRequest
+	if e := f.body(w, r, &body); e != nil {
+		f.fail(w, r, e)
+		return
+	}
+	in, e := inferInput(&body)
+	if e != nil {
+		f.fail(w, r, e)
+		return
+	}
+	q := f.submit(w, r, in)
+	if q == nil {
+		return
+	}
+	text, end := collect(r.Context(), q)
+	if e := front.Ended(end); e != nil {
+		f.fail(w, r, e)
+		return
+	}
+	f.write(w, http.StatusOK, kserve.InferResponse{ModelName: f.set.Model, ModelVersion: f.set.ModelVersion,
+		ID: body.ID, Parameters: kserve.Parameters{"finish_reason": end.Finish, "tokens": end.Tokens},
+		Outputs: []kserve.Tensor{kserve.TextTensor(textOutput, text)}})
+}
+
+// inferInput finds the prompt among the tensors and checks all of them.
+func inferInput(body *kserve.InferRequest) (*front.Input, *front.Error) {
+	wrong := func(err error) (*front.Input, *front.Error) {
+		return nil, &front.Error{Trouble: front.Bad, Text: err.Error()}
+	}
+	in := &front.Input{ID: body.ID, Params: body.Parameters}
+	found := false
+	for i := range body.Inputs {
+		t := &body.Inputs[i]
+		if err := t.Check(maxElements); err != nil {
+			return wrong(err)
+		}
+		if n, _ := kserve.Elements(t.Shape, maxElements); n != 1 {
+			return wrong(fmt.Errorf("tensor %q has %d elements, want 1", t.Name, n))
+		}
+		switch t.Name {
+		case textInput:
+			texts, err := t.Strings()
+			if err != nil {
+				return wrong(err)
+			}
+			in.Prompt, found = texts[0], true
+		case front.ParamMaxTokens:
+			if t.Datatype != "INT32" {
+				return wrong(fmt.Errorf("tensor %q has datatype %s, want INT32", t.Name, t.Datatype))
+			}
+			var n []json.Number
+			if err := json.Unmarshal(t.Data, &n); err != nil {
+				return wrong(fmt.Errorf("tensor %q: want a list of one number", t.Name))
+			}
+			if in.Params == nil {
+				in.Params = kserve.Parameters{}
+			}
+			in.Params[front.ParamMaxTokens] = n[0]
+		default:
+			return wrong(fmt.Errorf("the model has no input %q", t.Name))
+		}
+	}
+	if !found {
+		return wrong(fmt.Errorf("the input %q is missing", textInput))
+	}
+	for _, o := range body.Outputs {
+		if o.Name != textOutput {
+			return wrong(fmt.Errorf("the model has no output %q", o.Name))
+		}
+	}
+	return in, nil
+}
+
+// collect reads a request to its end.
+func collect(ctx context.Context, q *router.Request) (string, *router.Ending) {
+	var text []byte
+	for {
+		part, end := q.Next(ctx)
+		if end != nil {
+			return string(text), end
+		}
+		text = append(text, part...)
+	}
+}
+
+func (f *Front) generate(w http.ResponseWriter, r *http.Request) {
+	var body kserve.GenerateRequest
+	if e := f.body(w, r, &body); e != nil {
+		f.fail(w, r, e)
+		return
+	}
+	q := f.submit(w, r, &front.Input{ID: body.ID, Prompt: body.TextInput, Params: body.Parameters})
+	if q == nil {
+		return
+	}
+	text, end := collect(r.Context(), q)
+	if e := front.Ended(end); e != nil {
+		f.fail(w, r, e)
+		return
+	}
+	f.write(w, http.StatusOK, kserve.GenerateResponse{ModelName: f.set.Model, ModelVersion: f.set.ModelVersion,
+		ID: body.ID, TextOutput: text, Details: &kserve.Details{FinishReason: end.Finish}})
+}
+
+// generateStream streams an answer as server-sent events, one a token and one for the end. Before the
+// first token an error is an HTTP status; after it, an event with the error, and the stream ends.
+func (f *Front) generateStream(w http.ResponseWriter, r *http.Request) {
+	var body kserve.GenerateRequest
+	if e := f.body(w, r, &body); e != nil {
+		f.fail(w, r, e)
+		return
+	}
+	q := f.submit(w, r, &front.Input{ID: body.ID, Prompt: body.TextInput, Params: body.Parameters})
+	if q == nil {
+		return
+	}
+	defer q.Abandon() // of no effect after the ending
+	out := f.newStream(w, body.ID)
+	defer out.control.SetWriteDeadline(time.Time{}) // the connection may serve others after this
+	for {
+		text, end := q.Next(r.Context())
+		if end == nil {
+			if out.token(text, !q.Waiting()) != nil {
+				return
+			}
+			continue
+		}
+		e := front.Ended(end)
+		switch {
+		case e != nil && !out.begun:
+			f.fail(w, r, e)
+		case e != nil:
+			out.event(&kserve.GenerateResponse{ID: body.ID, Error: e.Text})
+		default:
+			out.event(&kserve.GenerateResponse{ModelName: f.set.Model, ModelVersion: f.set.ModelVersion, ID: body.ID,
+				Details: &kserve.Details{FinishReason: end.Finish}})
+		}
+		return
+	}
+}
+
+// stream writes events. Every write has a deadline, so that a client that does not read is noticed.
+type stream struct {
+	w       http.ResponseWriter
+	control *http.ResponseController
+	stall   time.Duration
+	begun   bool
+	head    []byte // of a token's event, up to its text
+	buf     []byte
+}
+
+func (f *Front) newStream(w http.ResponseWriter, id string) *stream {
+	head, _ := json.Marshal(struct {
+		Name    string `json:"model_name"`
+		Version string `json:"model_version"`
+		ID      string `json:"id,omitempty"`
+	}{f.set.Model, f.set.ModelVersion, id})
+	s := &stream{w: w, control: http.NewResponseController(w), stall: f.set.ClientStall}
+	s.head = append(append([]byte("data: "), head[:len(head)-1]...), `,"text_output":`...)
+	return s
+}
+
+func (s *stream) token(text string, flush bool) error {
+	quoted, err := json.Marshal(text)
+	if err != nil {
+		return err
+	}
+	s.buf = append(append(s.buf[:0], s.head...), quoted...)
+	s.buf = append(s.buf, "}\n\n"...)
+	return s.send(flush)
+}
+
+func (s *stream) event(v *kserve.GenerateResponse) error {
+	data, err := json.Marshal(v)
+	if err != nil {
+		return err
+	}
+	s.buf = append(append(append(s.buf[:0], "data: "...), data...), "\n\n"...)
+	return s.send(true)
+}
+
+func (s *stream) send(flush bool) error {
+	if !s.begun {
+		s.begun = true
+		s.w.Header().Set("Content-Type", "text/event-stream")
+		s.w.Header().Set("Cache-Control", "no-store")
+		s.w.WriteHeader(http.StatusOK)
+	}
+	s.control.SetWriteDeadline(time.Now().Add(s.stall))
+	_, err := s.w.Write(s.buf)
+	if err == nil && flush {
+		err = s.control.Flush()
+	}
+	return err
+}
--- /dev/null
+++ b/internal/logging/logging.go
@@ -0,0 +1,94 @@
+// Package logging makes the program's loggers: text or JSON, and sampled under load so that a storm of
+// requests does not become a storm of lines.
+package logging
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"sync"
+	"time"
+)
+
+// New returns a logger. format is text or json; of each message at most sample lines a second are written
+// (0: all), and how many were left out is said with the first line of the next second. Warnings and errors
+// are sampled by the same rule, on their own.
+func New(w io.Writer, format string, level slog.Level, sample int) *slog.Logger {
+	opts := &slog.HandlerOptions{Level: level}
+	var h slog.Handler
+	if format == "json" {
+		h = slog.NewJSONHandler(w, opts)
+	} else {
+		h = slog.NewTextHandler(w, opts)
+	}
+	if sample > 0 {
+		h = &sampler{next: h, shared: &shared{most: sample, seen: map[string]*window{}}}
+	}
+	return slog.New(h)
+}
+
+type window struct {
+	second  int64
+	written int
+	dropped int
+}
+
+// shared is what all derived handlers count in.
+type shared struct {
+	mu   sync.Mutex
+	most int
+	seen map[string]*window // by message; messages are constants of the program, so there are few
+}
+
+type sampler struct {
+	next   slog.Handler
+	shared *shared
+}
+
+func (s *sampler) Enabled(ctx context.Context, l slog.Level) bool { return s.next.Enabled(ctx, l) }
+
+func (s *sampler) Handle(ctx context.Context, r slog.Record) error {
+	dropped, ok := s.shared.take(r.Message, r.Time)
+	if !ok {
+		return nil
+	}
+	if dropped > 0 {
+		r = r.Clone()
+		r.AddAttrs(slog.Int("left out", dropped))
+	}
+	return s.next.Handle(ctx, r)
+}
+
+// maxMessages bounds the table for messages that are no constants.
+const maxMessages = 1000
+
+func (s *shared) take(message string, at time.Time) (dropped int, ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	w := s.seen[message]
+	if w == nil {
+		if len(s.seen) >= maxMessages {
+			clear(s.seen)
+		}
+		w = &window{}
+		s.seen[message] = w
+	}
+	if second := at.Unix(); second != w.second {
+		dropped = w.dropped
+		*w = window{second: second}
+	}
+	if w.written >= s.most {
+		w.dropped++
+		return 0, false
+	}
+	w.written++
+	return dropped, true
+}
+
+func (s *sampler) WithAttrs(attrs []slog.Attr) slog.Handler {
+	return &sampler{s.next.WithAttrs(attrs), s.shared}
+}
+
+func (s *sampler) WithGroup(name string) slog.Handler {
+	return &sampler{s.next.WithGroup(name), s.shared}
+}
--- a/internal/router/request.go
+++ b/internal/router/request.go
@@ -118,3 +118,6 @@
 	ErrTooMany  = errors.New("too many requests are open")
 	ErrLate     = errors.New("the deadline has passed")
 )
+
+// Waiting tells whether Next would return a token at once.
+func (q *Request) Waiting() bool { return len(q.parts) > 0 }
