--- /dev/null
+++ b/cmd/mintdoor/main.go
@@ -0,0 +1,46 @@
+// Command mintdoor is the router and its tools. 'mintdoor help' lists the sub-commands.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+
+	"mintdoor/internal/daemon"
+
+	"github.com/spf13/cobra"
+)
+
+// errSaid ends the program with status 1 when all has been said already.
+var errSaid = errors.New("")
+
+func main() {
+	if err := command().ExecuteContext(context.Background()); err != nil {
+		if !errors.Is(err, errSaid) {
+			fmt.Fprintln(os.Stderr, "mintdoor:", err)
+		}
+		os.Exit(1)
+	}
+}
+
+func command() *cobra.Command {
+	root := &cobra.Command{
+		Use:           "mintdoor",
+		Short:         "Router for language-model serving with prefill and decode on separate engines",
+		SilenceUsage:  true,
+		SilenceErrors: true,
+		Version:       daemon.Version,
+	}
+	root.CompletionOptions.DisableDefaultCmd = true
+	root.AddCommand(serveCommand(), checkCommand(), configCommand(), engineCommand(), demoCommand(), askCommand(),
+		versionCommand())
+	return root
+}
+
+func versionCommand() *cobra.Command {
+	return &cobra.Command{
+		Use: "version", Short: "Print the version", Args: cobra.NoArgs,
+		Run: func(cmd *cobra.Command, _ []string) { fmt.Fprintln(cmd.OutOrStdout(), "mintdoor", daemon.Version) },
+	}
+}
--- /dev/null
+++ b/cmd/mintdoor/serve.go
@@ -0,0 +1,104 @@
+package main
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"mintdoor/internal/config"
+	"mintdoor/internal/daemon"
+	"mintdoor/internal/logging"
+
+	"github.com/spf13/cobra"
+)
+
+func serveCommand() *cobra.Command {
+	var seed uint64
+	cmd := &cobra.Command{
+		Use:   "serve SETTINGS",
+		Short: "Run a router until a signal: the first stops taking requests and drains, the second ends",
+		Args:  cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			set, err := config.Load(args[0])
+			if err != nil {
+				return err
+			}
+			if !cmd.Flags().Changed("seed") {
+				seed = randomSeed()
+			}
+			log := logging.New(os.Stderr, set.LogFormat, set.LogLevel, set.LogSample)
+			d, err := daemon.New(set, seed, log, nil)
+			if err != nil {
+				return err
+			}
+			fmt.Fprintf(cmd.OutOrStdout(), "listening on %s\n", d.Addr())
+			ctx, cancel := context.WithCancel(cmd.Context())
+			defer cancel()
+			signals := make(chan os.Signal, 2)
+			signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
+			defer signal.Stop(signals)
+			go func() {
+				for first := true; ; first = false {
+					select {
+					case <-ctx.Done():
+						return
+					case <-signals:
+					}
+					if !first {
+						cancel()
+						return
+					}
+					d.Drain()
+				}
+			}()
+			return d.Run(ctx)
+		},
+	}
+	cmd.Flags().Uint64Var(&seed, "seed", 0, "seed of the module's random choices (default: drawn at each start)")
+	return cmd
+}
+
+func randomSeed() uint64 {
+	var b [8]byte
+	rand.Read(b[:]) // never fails
+	return binary.LittleEndian.Uint64(b[:])
+}
+
+func checkCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:   "check SETTINGS",
+		Short: "Check a settings file and say everything that is wrong with it",
+		Args:  cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			set, err := config.Load(args[0])
+			if err != nil {
+				fmt.Fprintln(cmd.ErrOrStderr(), err)
+				return errSaid
+			}
+			fmt.Fprintf(cmd.OutOrStdout(), "%s is sound: model %s on %s, %d classes, %d kinds of engines, %d tenants\n",
+				args[0], set.Model, set.Listen, len(set.Classes), len(set.Kinds), len(set.Tenants))
+			return nil
+		},
+	}
+}
+
+func configCommand() *cobra.Command {
+	var defaults bool
+	cmd := &cobra.Command{
+		Use:   "config --defaults",
+		Short: "Print every setting with its default and its meaning",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if !defaults {
+				return fmt.Errorf("config: say --defaults")
+			}
+			return config.WriteDefaults(cmd.OutOrStdout())
+		},
+	}
+	cmd.Flags().BoolVar(&defaults, "defaults", false, "print the defaults")
+	return cmd
+}
--- a/internal/standin/engine/model.go
+++ b/internal/standin/engine/model.go
@@ -385,3 +385,13 @@
 	const gain = 0.1
 	m.waits += gain * (float64(d)/1e6 - m.waits)
 }
+
+// Faster makes everything that the engine does so many times faster.
+func (s *Spec) Faster(times float64) {
+	scale := func(d *time.Duration) { *d = time.Duration(float64(*d) / times) }
+	for _, d := range []*time.Duration{&s.Step, &s.PerSeq, &s.ColdFor, &s.FallWithin, &s.ReportEvery, &s.ReportDelay} {
+		scale(d)
+	}
+	s.ReadPerS *= times
+	s.PortPerS *= times
+}
