--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -325,6 +325,11 @@
 	return c.insist(ctx, http.MethodPost, s.Addr, StatePath+url.PathEscape(s.Handle)+"/release")
 }
 
+// CallOff ends a read whose answer will not be taken, and lets go of the state that it may have left.
+func (c *Client) CallOff(ctx context.Context, addr, request string) error {
+	return c.insist(ctx, http.MethodDelete, addr, RequestPath+url.PathEscape(request))
+}
+
 // GiveUpPlace lets go of a place held ahead.
 func (c *Client) GiveUpPlace(ctx context.Context, addr, request string) error {
 	return c.insist(ctx, http.MethodDelete, addr, PlacePath+url.PathEscape(request))
--- a/internal/engine/wire.go
+++ b/internal/engine/wire.go
@@ -19,7 +19,7 @@
 	LoadPath    = "/v2/load"      // GET: the load report
 	StatePath   = "/v2/kv/state/" // GET: fetch; POST .../release; POST .../claim
 	PlacePath   = "/v2/kv/place/" // PUT: hold; DELETE: give up; POST .../state: the state moves there
-	RequestPath = "/v2/kv/read/"  // POST .../place: tell a read where its state is to go
+	RequestPath = "/v2/kv/read/"  // DELETE: call a read off, or its state; POST .../place: where it is to go
 
 	// RefusedHeader says why an engine has not run a request at all.
 	RefusedHeader = "Kv-Refused"
--- a/internal/router/actions.go
+++ b/internal/router/actions.go
@@ -153,6 +153,9 @@
 	} else {
 		res = r.cfg.Engines.Decode(a.ctx, a.addr, &a.call, r.sink(a))
 	}
+	if a.prefill && !answered(res.Outcome) {
+		r.callOff(a)
+	}
 	call := a.call
 	a.call.Prompt = "" // timers may keep the attempt until its deadline
 	if !r.post(message{kind: attemptEnded, a: a, res: res}) {
@@ -160,6 +163,23 @@
 	}
 }
 
+// answered tells whether the engine has said how an attempt ended, or never heard of it.
+func answered(o decide.Outcome) bool {
+	return o == decide.ReadDone || o == decide.Full || o == decide.ConnectFailed || o == decide.Moot
+}
+
+// callOff sees to a read that was given up: its engine may have finished it in the same moment, and nobody
+// knows that state's name.
+func (r *Router) callOff(a *attempt) {
+	r.work.Add(1)
+	go func() {
+		defer r.work.Done()
+		if err := r.cfg.Engines.CallOff(r.workCtx, a.addr, a.call.Params.Request); err != nil {
+			r.log.Debug("a read was not called off; the engine lets go by itself", "attempt", a.call.ID, "err", err)
+		}
+	}()
+}
+
 // orphaned lets go of what an attempt leaves when the loop has stopped: nobody else will.
 func (r *Router) orphaned(call *engine.Call, res *engine.Result) {
 	s := res.State
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -21,13 +21,14 @@
 
 // fakeEngines answers attempts as the test says, and keeps what it was asked.
 type fakeEngines struct {
-	mu       sync.Mutex
-	out      map[string]int // by request: attempts out now
-	most     int            // of one request at a time
-	released []string
-	places   []string
-	prefill  func(ctx context.Context, addr string, q *engine.Call) engine.Result
-	decode   func(ctx context.Context, addr string, q *engine.Call, sink func(string) error) engine.Result
+	mu        sync.Mutex
+	out       map[string]int // by request: attempts out now
+	most      int            // of one request at a time
+	released  []string
+	places    []string
+	calledOff int
+	prefill   func(ctx context.Context, addr string, q *engine.Call) engine.Result
+	decode    func(ctx context.Context, addr string, q *engine.Call, sink func(string) error) engine.Result
 }
 
 func (f *fakeEngines) begin(q *engine.Call) func() {
@@ -112,6 +113,13 @@
 	return engine.Result{Outcome: decide.Served, Report: decide.Report{MemoryShare: 0.5, WaitingK: 0, Latency: 1}}
 }
 
+func (f *fakeEngines) CallOff(context.Context, string, string) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.calledOff++
+	return nil
+}
+
 func (f *fakeEngines) Forget(string) {}
 
 func (f *fakeEngines) letGo() []string {
@@ -237,6 +245,11 @@
 			t.Errorf("%+v", end)
 		}
 		g.eventually("the row is gone", func() bool { return g.Stats().Open == 0 })
+		g.eventually("the read is called off at its engine", func() bool {
+			g.fake.mu.Lock()
+			defer g.fake.mu.Unlock()
+			return g.fake.calledOff == 1
+		})
 	})
 	t.Run("while the state waits", func(t *testing.T) {
 		began := make(chan bool, 1)
--- a/internal/standin/engine/places.go
+++ b/internal/standin/engine/places.go
@@ -77,9 +77,9 @@
 	var p engine.PlaceNotice
 	err := kserve.Decode(http.MaxBytesReader(w, r.Body, 4096), &p)
 	l.s.mu.Lock()
-	_, known := l.reads[r.PathValue("request")]
+	under, known := l.reads[r.PathValue("request")]
 	if known && err == nil {
-		l.reads[r.PathValue("request")] = p.Place
+		under.place = p.Place
 	}
 	l.s.mu.Unlock()
 	if err != nil || !known {
--- a/internal/standin/engine/server.go
+++ b/internal/standin/engine/server.go
@@ -117,7 +117,7 @@
 	model    *model
 	wake     chan struct{}
 	states   map[string]*state
-	reads    map[string]string // place by request, for reads under way
+	reads    map[string]*read // by request: those under way
 	places   map[string]*place
 	next     int
 	reports  []report
@@ -126,11 +126,18 @@
 
 // state is a read state that waits.
 type state struct {
-	id, attempt, client, router string
-	prompt, answer, blocks      int
-	claims                      int
-	lease                       *time.Timer
-	hold                        time.Duration
+	id, attempt, request, client, router string
+	prompt, answer, blocks               int
+	claims                               int
+	lease                                *time.Timer
+	hold                                 time.Duration
+}
+
+// read is a read under way.
+type read struct {
+	place string // where its state is to go; "" here
+	off   chan struct{}
+	once  sync.Once
 }
 
 // place is a slot and memory held ahead.
@@ -177,7 +184,7 @@
 	s.addr = raw.Addr().String()
 	now := time.Now()
 	l := &life{s: s, model: newModel(s.cfg.Spec, now, cold), wake: make(chan struct{}, 1),
-		states: map[string]*state{}, reads: map[string]string{}, places: map[string]*place{}}
+		states: map[string]*state{}, reads: map[string]*read{}, places: map[string]*place{}}
 	l.ctx, l.end = context.WithCancel(s.ctx)
 	l.listener = &listener{Listener: raw, life: l, conns: map[*conn]bool{}}
 	l.http = &http.Server{Handler: l.handler(), ErrorLog: slog.NewLogLogger(s.log.Handler(), slog.LevelDebug),
@@ -190,7 +197,8 @@
 	if s.cfg.Spec.Role == decide.Reader {
 		stage = engine.StagePrefill
 	}
-	rec := audit.Record{Who: s.cfg.Name, What: audit.Started, N: s.cfg.Spec.capacity(), Note: stage}
+	rec := audit.Record{Who: s.cfg.Name, What: audit.Started, N: s.cfg.Spec.capacity(), Work: s.cfg.Spec.ColdFrom,
+		Deadline: int64(s.cfg.Spec.ColdFor), Note: stage}
 	if !cold {
 		rec.At = now.Add(-s.cfg.Spec.ColdFor).UnixNano()
 	}
@@ -446,6 +454,7 @@
 	mux.HandleFunc("DELETE "+engine.PlacePath+"{request}", l.giveUp)
 	mux.HandleFunc("POST "+engine.PlacePath+"{request}/state", l.stateComes)
 	mux.HandleFunc("POST "+engine.RequestPath+"{request}/place", l.tellPlace)
+	mux.HandleFunc("DELETE "+engine.RequestPath+"{request}", l.callOff)
 	mux.HandleFunc("GET /v2/health/ready", func(w http.ResponseWriter, r *http.Request) {
 		writeJSON(w, http.StatusOK, map[string]bool{"ready": true})
 	})
@@ -626,10 +635,11 @@
 	}
 	q := &seq{prompt: max(int(a.p.PromptTokens), 1), shared: int(a.p.SharedTokens), session: a.p.Session, text: a.p.SharedText}
 	began := time.Now()
+	under := &read{off: make(chan struct{})}
 	l.s.mu.Lock()
 	err := l.model.admit(q)
 	if err == nil {
-		l.reads[a.p.Request] = ""
+		l.reads[a.p.Request] = under
 	}
 	l.s.mu.Unlock()
 	if err != nil {
@@ -642,12 +652,20 @@
 	select {
 	case <-q.events:
 		done = true
+	case <-under.off:
 	case <-r.Context().Done():
 	case <-l.ctx.Done():
 	}
 	l.s.mu.Lock()
-	placeAt := l.reads[a.p.Request]
-	delete(l.reads, a.p.Request)
+	placeAt := under.place
+	if l.reads[a.p.Request] == under {
+		delete(l.reads, a.p.Request)
+	}
+	select {
+	case <-under.off:
+		done = false
+	default:
+	}
 	if !done || r.Context().Err() != nil || l.ctx.Err() != nil || l.silent {
 		silent := l.silent
 		l.model.leave(q)
@@ -659,6 +677,7 @@
 		if silent {
 			l.hush(r.Context())
 		}
+		l.signal()
 		panic(http.ErrAbortHandler)
 	}
 	l.model.waited(time.Since(began))
@@ -707,7 +726,8 @@
 // that clock, and the end of a claim starts it anew.
 func (l *life) holdLocked(a *attempt, q *seq) *state {
 	l.next++
-	st := &state{id: fmt.Sprintf("%s-%d-%d", l.s.cfg.Name, l.s.since.UnixNano()%1e9, l.next), attempt: a.id, client: a.p.Client,
+	st := &state{id: fmt.Sprintf("%s-%x-%d", l.s.cfg.Name, l.model.started.UnixNano(), l.next), attempt: a.id,
+		request: a.p.Request, client: a.p.Client,
 		router: a.router, prompt: q.prompt, blocks: q.blocks, answer: l.answerLength(a.text, a.p.MaxTokens),
 		hold: time.Duration(max(a.p.HoldMillis, 1) * 1e6)}
 	l.addStateLocked(st)
@@ -755,6 +775,24 @@
 	writeJSON(w, http.StatusOK, map[string]bool{"released": true})
 }
 
+// callOff ends a read, or lets go of the state that it has left: for a router that gave the attempt up and
+// never saw its answer. It can be told again and again.
+func (l *life) callOff(w http.ResponseWriter, r *http.Request) {
+	request := r.PathValue("request")
+	l.s.mu.Lock()
+	if under := l.reads[request]; under != nil {
+		under.once.Do(func() { close(under.off) })
+	}
+	for _, st := range l.states {
+		if st.request == request && st.claims == 0 {
+			l.dropLocked(st, audit.Released)
+		}
+	}
+	l.s.mu.Unlock()
+	l.signal()
+	writeJSON(w, http.StatusOK, map[string]bool{"released": true})
+}
+
 func (l *life) claimed(st *state, on bool) {
 	l.s.mu.Lock()
 	defer l.s.mu.Unlock()
