--- a/internal/e2e/e2e_test.go
+++ b/internal/e2e/e2e_test.go
@@ -41,6 +41,7 @@
 	url    string
 	set    *config.Settings
 	stop   func()
+	halt   func() // ends the router at once, but not the engines
 	done   chan error
 }
 
@@ -84,7 +85,21 @@
 
 type option func(*fleet.Config, *string)
 
-func more(text string) option { return func(_ *fleet.Config, set *string) { *set = text + *set } }
+// more puts lines of settings in the place of those that say the same.
+func more(text string) option {
+	return func(_ *fleet.Config, set *string) {
+		for _, line := range strings.Split(strings.TrimSpace(text), "\n") {
+			name, _, _ := strings.Cut(line, " ")
+			var kept []string
+			for _, old := range strings.Split(*set, "\n") {
+				if !strings.HasPrefix(old, name+" ") {
+					kept = append(kept, old)
+				}
+			}
+			*set = line + "\n" + strings.Join(kept, "\n")
+		}
+	}
+}
 
 func newWorld(t *testing.T, opts ...option) *world {
 	t.Helper()
@@ -125,6 +140,7 @@
 	w.client = &http.Client{Transport: trans}
 	w.url = "http://" + w.daemon.Addr()
 	var once sync.Once
+	w.halt = cancel
 	w.stop = func() {
 		once.Do(func() {
 			cancel()
--- a/internal/front/rest/rest.go
+++ b/internal/front/rest/rest.go
@@ -11,6 +11,7 @@
 	"math"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"time"
 
@@ -26,6 +27,7 @@
 	maxElements = 1 << 16 // of an input tensor
 	textInput   = "text_input"
 	textOutput  = "text_output"
+	idleFor     = 5 * time.Minute // a connection without a request is closed after this
 )
 
 // Front serves the protocol for one model.
@@ -74,6 +76,7 @@
 	s := &http.Server{
 		Handler:           f,
 		ReadHeaderTimeout: f.set.HeaderWithin,
+		IdleTimeout:       idleFor,
 		MaxHeaderBytes:    int(f.set.MaxHeader),
 		ErrorLog:          slog.NewLogLogger(f.log.Handler(), slog.LevelDebug),
 	}
@@ -179,11 +182,15 @@
 	control := http.NewResponseController(w)
 	control.SetReadDeadline(time.Now().Add(f.set.HeaderWithin))
 	err := kserve.Decode(http.MaxBytesReader(w, r.Body, f.set.MaxBody), v)
-	control.SetReadDeadline(time.Time{}) // from here on reading only tells whether the client is there
 	var large *http.MaxBytesError
 	switch {
 	case err == nil:
+		control.SetReadDeadline(time.Time{}) // from here on reading only tells whether the client is there
 		return nil
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		// The deadline stays: the server would else wait for the rest of the body before it answers.
+		w.Header().Set("Connection", "close")
+		return &front.Error{Trouble: front.Bad, Text: fmt.Sprintf("the body did not come within %v", f.set.HeaderWithin)}
 	case errors.As(err, &large):
 		return f.tooLarge()
 	default:
