--- /dev/null
+++ b/internal/e2e/cost_test.go
@@ -0,0 +1,375 @@
+package e2e
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"net/http/httputil"
+	"net/url"
+	"os"
+	"path/filepath"
+	"runtime"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"mintdoor/decide"
+	"mintdoor/internal/config"
+	"mintdoor/internal/daemon"
+	"mintdoor/internal/discovery"
+	"mintdoor/internal/engine"
+	"mintdoor/internal/kserve"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// The router's own cost, as ratios in one run: the two-hop path through the router, against a client that
+// calls both stages itself, and against the same calls through the standard library's reverse proxy. The
+// engines answer at once, so that nothing but the way is measured.
+
+const tokensPerAnswer = 20
+
+// instant is an engine without a model: both stages answer at once. hold, when not nil, keeps streams open
+// after their first token until it is closed.
+func instant(tb testing.TB, hold chan struct{}) *httptest.Server {
+	var s *httptest.Server
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v2/models/{model}/infer", func(w http.ResponseWriter, r *http.Request) {
+		var q struct {
+			ID string `json:"id"`
+		}
+		if json.NewDecoder(r.Body).Decode(&q) != nil {
+			w.WriteHeader(http.StatusBadRequest)
+			return
+		}
+		w.Header().Set("Content-Type", "application/json")
+		fmt.Fprintf(w, `{"model_name":"helpline","id":%q,"parameters":{"kv_handle":"h","kv_source":%q,"kv_tokens":100,"kept_tokens":0},"outputs":[]}`,
+			q.ID, s.Listener.Addr())
+	})
+	mux.HandleFunc("POST /v2/models/{model}/generate_stream", func(w http.ResponseWriter, r *http.Request) {
+		var q struct {
+			ID string `json:"id"`
+		}
+		if json.NewDecoder(r.Body).Decode(&q) != nil {
+			w.WriteHeader(http.StatusBadRequest)
+			return
+		}
+		w.Header().Set("Content-Type", "text/event-stream")
+		control := http.NewResponseController(w)
+		for range tokensPerAnswer {
+			fmt.Fprintf(w, "data: {\"model_name\":\"helpline\",\"id\":%q,\"text_output\":\"word \"}\n\n", q.ID)
+			control.Flush()
+			if hold != nil {
+				select {
+				case <-hold:
+				case <-r.Context().Done():
+					return
+				}
+			}
+		}
+		fmt.Fprintf(w, "data: {\"model_name\":\"helpline\",\"id\":%q,\"text_output\":\"\",\"details\":{\"finish_reason\":\"stop\"}}\n\n", q.ID)
+	})
+	s = httptest.NewServer(mux)
+	tb.Cleanup(s.Close)
+	return s
+}
+
+// path is one way from a client to the engines: it asks once and reads the answer to its end.
+type path func(ctx context.Context, c *http.Client) error
+
+func post(ctx context.Context, c *http.Client, url, body string, read func(io.Reader) error) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader([]byte(body)))
+	if err != nil {
+		return err
+	}
+	resp, err := c.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		text, _ := io.ReadAll(resp.Body)
+		return fmt.Errorf("%s: %s", resp.Status, text)
+	}
+	return read(resp.Body)
+}
+
+func readStream(r io.Reader) error {
+	events := kserve.NewEvents(r, 1<<16)
+	for n := 0; ; n++ {
+		if _, err := events.Next(); err != nil {
+			if n != tokensPerAnswer+1 {
+				return fmt.Errorf("%d events: %w", n, err)
+			}
+			return nil
+		}
+	}
+}
+
+// twoCalls is a client that calls both stages by itself at some address.
+func twoCalls(base string) path {
+	return func(ctx context.Context, c *http.Client) error {
+		err := post(ctx, c, base+"/v2/models/helpline/infer",
+			`{"id":"a","parameters":{"stage":"prefill","prompt_tokens":100},"inputs":[{"name":"text_input","shape":[1],"datatype":"BYTES","data":["What is the rate of onions?"]}]}`,
+			func(r io.Reader) error { _, err := io.Copy(io.Discard, r); return err })
+		if err != nil {
+			return err
+		}
+		return post(ctx, c, base+"/v2/models/helpline/generate_stream",
+			`{"id":"a","text_input":"","parameters":{"stage":"decode","kv_handle":"h","kv_source":"x"}}`, readStream)
+	}
+}
+
+func oneCall(base string) path {
+	return func(ctx context.Context, c *http.Client) error {
+		return post(ctx, c, base+"/v2/models/helpline/generate_stream",
+			`{"id":"a","text_input":"What is the rate of onions?","parameters":{"prompt_tokens":100,"session":"s"}}`, readStream)
+	}
+}
+
+// routerOver starts a router over instant engines and returns its address.
+func routerOver(tb testing.TB, readers, writers []*httptest.Server) string {
+	dir := tb.TempDir()
+	var list []discovery.Engine
+	for i, s := range readers {
+		list = append(list, discovery.Engine{Name: fmt.Sprint("p", i), Addr: s.Listener.Addr().String(), Kind: "prefill", State: decide.Ready, Weight: 1})
+	}
+	for i, s := range writers {
+		list = append(list, discovery.Engine{Name: fmt.Sprint("d", i), Addr: s.Listener.Addr().String(), Kind: "decode", State: decide.Ready, Weight: 1})
+	}
+	if err := discovery.WriteList(filepath.Join(dir, "engines.list"), list); err != nil {
+		tb.Fatal(err)
+	}
+	conf := filepath.Join(dir, "r.conf")
+	if err := os.WriteFile(conf, []byte("engine-connections 20000\nlog-level warn\nstream-idle 10m\n"+`
+list engines.list
+listen 127.0.0.1:0
+class price-ask
+    deadline 60s
+kind prefill
+    role prefill
+kind decode
+    role decode
+`), 0o644); err != nil {
+		tb.Fatal(err)
+	}
+	set, err := config.Load(conf)
+	if err != nil {
+		tb.Fatal(err)
+	}
+	d, err := daemon.New(set, 1, slog.New(slog.DiscardHandler), nil)
+	if err != nil {
+		tb.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- d.Run(ctx) }()
+	tb.Cleanup(func() {
+		cancel()
+		if err := <-done; err != nil {
+			tb.Error(err)
+		}
+	})
+	for !d.Router.Ready() {
+		time.Sleep(time.Millisecond)
+	}
+	return "http://" + d.Addr()
+}
+
+// ways makes the three paths over one set of engines.
+func ways(tb testing.TB) (names []string, paths []path) {
+	reader, writer := instant(tb, nil), instant(tb, nil)
+	target, err := url.Parse(reader.URL)
+	if err != nil {
+		tb.Fatal(err)
+	}
+	trans := &http.Transport{MaxIdleConnsPerHost: 1024}
+	proxy := httptest.NewServer(&httputil.ReverseProxy{Rewrite: func(r *httputil.ProxyRequest) { r.SetURL(target) }, FlushInterval: -1, Transport: trans})
+	tb.Cleanup(func() { proxy.Close(); trans.CloseIdleConnections() })
+	router := routerOver(tb, []*httptest.Server{reader}, []*httptest.Server{writer})
+	return []string{"direct", "proxy", "router"}, []path{twoCalls(reader.URL), twoCalls(proxy.URL), oneCall(router)}
+}
+
+func client(tb testing.TB) *http.Client {
+	t := &http.Transport{MaxIdleConnsPerHost: 1024}
+	tb.Cleanup(t.CloseIdleConnections)
+	return &http.Client{Transport: t}
+}
+
+// BenchmarkThroughput asks as fast as 64 clients can. Compare the ways' ns/op within one run.
+func BenchmarkThroughput(b *testing.B) {
+	names, paths := ways(b)
+	for i, p := range paths {
+		b.Run(names[i], func(b *testing.B) {
+			c := client(b)
+			b.ReportAllocs()
+			b.SetParallelism(max(64/runtime.GOMAXPROCS(0), 1))
+			b.RunParallel(func(pb *testing.PB) {
+				for pb.Next() {
+					if err := p(context.Background(), c); err != nil {
+						b.Error(err)
+						return
+					}
+				}
+			})
+		})
+	}
+}
+
+// BenchmarkLatency asks at half of the router's throughput, at times drawn ahead, over the three ways in
+// turn, and reports p50 and p99 from the time at which each request was due.
+func BenchmarkLatency(b *testing.B) {
+	names, paths := ways(b)
+	c := client(b)
+	for i := range 200 {
+		for _, p := range paths { // warm
+			if err := p(context.Background(), c); err != nil {
+				b.Fatal(i, err)
+			}
+		}
+	}
+	full := throughput(b, paths[2], c, 2*time.Second)
+	rate := full / 2
+	b.Run("half load", func(b *testing.B) {
+		var hist [3]*hdrhistogram.Histogram
+		for i := range hist {
+			hist[i] = hdrhistogram.New(1, int64(time.Minute), 3)
+		}
+		const slice = 500 * time.Millisecond
+		rounds := max(b.N, 6)
+		for range rounds {
+			for i, p := range paths {
+				openLoop(b, p, c, rate, slice, hist[i])
+			}
+		}
+		for i, name := range names {
+			b.ReportMetric(float64(hist[i].ValueAtPercentile(50))/1e6, name+"-p50-ms")
+			b.ReportMetric(float64(hist[i].ValueAtPercentile(99))/1e6, name+"-p99-ms")
+		}
+		b.ReportMetric(rate, "requests/s")
+	})
+}
+
+func throughput(b *testing.B, p path, c *http.Client, d time.Duration) float64 {
+	var n atomic.Int64
+	var wg sync.WaitGroup
+	end := time.Now().Add(d)
+	for range 64 {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			for time.Now().Before(end) {
+				if err := p(context.Background(), c); err != nil {
+					b.Error(err)
+					return
+				}
+				n.Add(1)
+			}
+		}()
+	}
+	wg.Wait()
+	return float64(n.Load()) / d.Seconds()
+}
+
+func openLoop(b *testing.B, p path, c *http.Client, rate float64, d time.Duration, h *hdrhistogram.Histogram) {
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	began := time.Now()
+	gap := time.Duration(1e9 / rate)
+	for due := time.Duration(0); due < d; due += gap {
+		if wait := time.Until(began.Add(due)); wait > 0 {
+			time.Sleep(wait)
+		}
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			if err := p(context.Background(), c); err != nil {
+				b.Error(err)
+				return
+			}
+			took := time.Since(began.Add(due))
+			mu.Lock()
+			h.RecordValue(int64(took))
+			mu.Unlock()
+		}()
+	}
+	wg.Wait()
+}
+
+// BenchmarkHeldStream reports the memory of one more stream that is held open, all three ends in this
+// process: client, router and engine, and beside it the same without the router.
+func BenchmarkHeldStream(b *testing.B) {
+	for _, n := range []int{1000, 4000} {
+		for _, way := range []string{"direct", "router"} {
+			b.Run(fmt.Sprintf("%s-%d", way, n), func(b *testing.B) {
+				hold := make(chan struct{})
+				reader, writer := instant(b, nil), instant(b, hold)
+				base := writer.URL
+				if way == "router" {
+					base = routerOver(b, []*httptest.Server{reader}, []*httptest.Server{writer})
+				}
+				c := client(b)
+				used := func() float64 {
+					runtime.GC()
+					runtime.GC()
+					var m runtime.MemStats
+					runtime.ReadMemStats(&m)
+					return float64(m.HeapInuse + m.StackInuse)
+				}
+				before := used()
+				var wg sync.WaitGroup
+				held := make(chan bool, n)
+				for range n {
+					wg.Add(1)
+					go func() {
+						defer wg.Done()
+						err := post(context.Background(), c, base+"/v2/models/helpline/generate_stream",
+							`{"id":"a","text_input":"x","parameters":{"prompt_tokens":10}}`, func(r io.Reader) error {
+								events := kserve.NewEvents(r, 1<<16)
+								_, err := events.Next()
+								held <- true
+								for err == nil {
+									_, err = events.Next()
+								}
+								return nil
+							})
+						if err != nil {
+							held <- false
+							b.Error(err)
+						}
+					}()
+				}
+				for range n {
+					<-held
+				}
+				b.ReportMetric((used()-before)/float64(n), "bytes/stream")
+				close(hold)
+				wg.Wait()
+			})
+		}
+	}
+}
+
+// BenchmarkClient is one read and one stream by the engines' client alone.
+func BenchmarkClient(b *testing.B) {
+	s := instant(b, nil)
+	c := engine.New(engine.Options{DialTimeout: time.Second, MaxConns: 100, StreamIdle: time.Minute, ReleaseWithin: time.Second, ProbeWithin: time.Second})
+	defer c.Close()
+	addr := s.Listener.Addr().String()
+	b.ReportAllocs()
+	for b.Loop() {
+		q := &engine.Call{ID: "a", Model: "helpline", Prompt: "What is the rate of onions?"}
+		if r := c.Prefill(b.Context(), addr, q); r.Outcome != decide.ReadDone {
+			b.Fatal(r.Err)
+		}
+		if r := c.Decode(b.Context(), addr, q, func(string) error { return nil }); r.Outcome != decide.Served {
+			b.Fatal(r.Err)
+		}
+	}
+}
