--- /dev/null
+++ b/internal/standin/spread/spread_test.go
@@ -0,0 +1,61 @@
+package spread
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+func TestSpread(t *testing.T) {
+	var addrs []string
+	for i := range 2 {
+		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { fmt.Fprint(w, i) }))
+		defer s.Close()
+		addrs = append(addrs, s.Listener.Addr().String())
+	}
+	l, err := Start(addrs, time.Hour)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	go func() { done <- l.Run(ctx) }()
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	ask := func() string {
+		resp, err := client.Get("http://" + l.Addr())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer resp.Body.Close()
+		text, _ := io.ReadAll(resp.Body)
+		return string(text)
+	}
+	if got := ask() + ask() + ask() + ask(); got != "0101" {
+		t.Errorf("spread as %s", got)
+	}
+	l.Dead(addrs[0]) // not noticed yet
+	if got := ask() + ask(); got != "01" {
+		t.Errorf("within the notice: %s", got)
+	}
+	l.notice = -time.Hour
+	l.Dead(addrs[0])
+	if got := ask() + ask() + ask(); got != "111" {
+		t.Errorf("after the notice: %s", got)
+	}
+	l.Alive(addrs[0])
+	if got := ask() + ask(); got != "10" && got != "01" {
+		t.Errorf("back: %s", got)
+	}
+	cancel()
+	if err := <-done; err != nil {
+		t.Error(err)
+	}
+}
