Less said twice in front and stand-in; idle connections measured

Need: generate and generate_stream, and the calls about a state, began with the same lines; 10,000 idle connections had no figure.

Change: one function takes a generate request, one finds a call's state; a benchmark opens 10,000 connections that send nothing and asks beside them.

--- a/internal/e2e/cost_test.go
+++ b/internal/e2e/cost_test.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/http/httputil"
@@ -440,3 +441,33 @@
 		}
 	}
 }
+
+// BenchmarkIdleConnections reports the memory of a client connection that sends nothing, and asks through
+// the same router while all of them are open.
+func BenchmarkIdleConnections(b *testing.B) {
+	const n = 10000
+	program := filepath.Join(b.TempDir(), "mintdoor")
+	if out, err := exec.Command("go", "build", "-o", program, "mintdoor/cmd/mintdoor").CombinedOutput(); err != nil {
+		b.Fatalf("%v\n%s", err, out)
+	}
+	reader, writer := instant(b, nil), instant(b, nil)
+	base, pid := routerProcess(b, program, reader, writer)
+	before := resident(b, pid)
+	for range n {
+		c, err := net.Dial("tcp", strings.TrimPrefix(base, "http://"))
+		if err != nil {
+			b.Fatal(err)
+		}
+		defer c.Close()
+	}
+	c := client(b)
+	began := time.Now()
+	const asked = 1000
+	for range asked {
+		if err := oneCall(base)(context.Background(), c); err != nil {
+			b.Fatal(err)
+		}
+	}
+	b.ReportMetric(float64(time.Since(began).Microseconds())/asked, "us/request")
+	b.ReportMetric((resident(b, pid)-before)/n, "bytes/connection")
+}
--- a/internal/front/rest/rest.go
+++ b/internal/front/rest/rest.go
@@ -303,13 +303,18 @@
 	}
 }
 
-func (f *Front) generate(w http.ResponseWriter, r *http.Request) {
+// ask takes a generate request; when it returns nil, all is said already.
+func (f *Front) ask(w http.ResponseWriter, r *http.Request) (id string, q *router.Request) {
 	var body kserve.GenerateRequest
 	if e := f.body(w, r, &body); e != nil {
 		f.fail(w, r, e)
-		return
+		return "", nil
 	}
-	q := f.submit(w, r, &front.Input{ID: body.ID, Prompt: body.TextInput, Params: body.Parameters})
+	return body.ID, f.submit(w, r, &front.Input{ID: body.ID, Prompt: body.TextInput, Params: body.Parameters})
+}
+
+func (f *Front) generate(w http.ResponseWriter, r *http.Request) {
+	id, q := f.ask(w, r)
 	if q == nil {
 		return
 	}
@@ -319,23 +324,18 @@
 		return
 	}
 	f.write(w, http.StatusOK, kserve.GenerateResponse{ModelName: f.set.Model, ModelVersion: f.set.ModelVersion,
-		ID: body.ID, TextOutput: text, Details: &kserve.Details{FinishReason: end.Finish}})
+		ID: id, TextOutput: text, Details: &kserve.Details{FinishReason: end.Finish}})
 }
 
 // generateStream streams an answer as server-sent events, one a token and one for the end. Before the
 // first token an error is an HTTP status; after it, an event with the error, and the stream ends.
 func (f *Front) generateStream(w http.ResponseWriter, r *http.Request) {
-	var body kserve.GenerateRequest
-	if e := f.body(w, r, &body); e != nil {
-		f.fail(w, r, e)
-		return
-	}
-	q := f.submit(w, r, &front.Input{ID: body.ID, Prompt: body.TextInput, Params: body.Parameters})
+	id, q := f.ask(w, r)
 	if q == nil {
 		return
 	}
 	defer q.Abandon() // of no effect after the ending
-	out := f.newStream(w, body.ID)
+	out := f.newStream(w, id)
 	defer out.control.SetWriteDeadline(time.Time{}) // the connection may serve others after this
 	for {
 		text, end := q.Next(r.Context())
@@ -350,9 +350,9 @@
 		case e != nil && !out.begun:
 			f.fail(w, r, e)
 		case e != nil:
-			out.event(&kserve.GenerateResponse{ID: body.ID, Error: e.Text})
+			out.event(&kserve.GenerateResponse{ID: id, Error: e.Text})
 		default:
-			out.event(&kserve.GenerateResponse{ModelName: f.set.Model, ModelVersion: f.set.ModelVersion, ID: body.ID,
+			out.event(&kserve.GenerateResponse{ModelName: f.set.Model, ModelVersion: f.set.ModelVersion, ID: id,
 				Details: &kserve.Details{FinishReason: end.Finish}})
 		}
 		return
--- a/internal/standin/engine/server.go
+++ b/internal/standin/engine/server.go
@@ -447,10 +447,10 @@
 	mux.HandleFunc("GET "+engine.LoadPath, func(w http.ResponseWriter, r *http.Request) {
 		writeJSON(w, http.StatusOK, l.report())
 	})
-	mux.HandleFunc("GET "+engine.StatePath+"{handle}", l.fetch)
-	mux.HandleFunc("POST "+engine.StatePath+"{handle}/release", l.release)
-	mux.HandleFunc("POST "+engine.StatePath+"{handle}/claim", l.claim)
-	mux.HandleFunc("POST "+engine.StatePath+"{handle}/renew", l.renew)
+	mux.HandleFunc("GET "+engine.StatePath+"{handle}", l.withState(l.fetch))
+	mux.HandleFunc("POST "+engine.StatePath+"{handle}/release", l.withState(l.release))
+	mux.HandleFunc("POST "+engine.StatePath+"{handle}/claim", l.withState(l.claim))
+	mux.HandleFunc("POST "+engine.StatePath+"{handle}/renew", l.withState(l.renew))
 	mux.HandleFunc("PUT "+engine.PlacePath+"{request}", l.reserve)
 	mux.HandleFunc("DELETE "+engine.PlacePath+"{request}", l.giveUp)
 	mux.HandleFunc("POST "+engine.PlacePath+"{request}/state", l.stateComes)
@@ -757,18 +757,21 @@
 	l.s.record(what, st, "")
 }
 
-func (l *life) find(r *http.Request) *state {
-	l.s.mu.Lock()
-	defer l.s.mu.Unlock()
-	return l.states[r.PathValue("handle")]
+// withState finds the state that a call is about.
+func (l *life) withState(f func(http.ResponseWriter, *http.Request, *state)) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		l.s.mu.Lock()
+		st := l.states[r.PathValue("handle")]
+		l.s.mu.Unlock()
+		if st == nil {
+			writeJSON(w, http.StatusNotFound, kserve.ErrorResponse{Error: "no such state"})
+			return
+		}
+		f(w, r, st)
+	}
 }
 
-func (l *life) release(w http.ResponseWriter, r *http.Request) {
-	st := l.find(r)
-	if st == nil {
-		writeJSON(w, http.StatusNotFound, kserve.ErrorResponse{Error: "no such state"})
-		return
-	}
+func (l *life) release(w http.ResponseWriter, r *http.Request, st *state) {
 	l.s.mu.Lock()
 	l.dropLocked(st, audit.Released)
 	l.s.mu.Unlock()
@@ -814,12 +817,7 @@
 }
 
 // renew starts a state's time anew: its router has an attempt out that is for it.
-func (l *life) renew(w http.ResponseWriter, r *http.Request) {
-	st := l.find(r)
-	if st == nil {
-		writeJSON(w, http.StatusNotFound, kserve.ErrorResponse{Error: "no such state"})
-		return
-	}
+func (l *life) renew(w http.ResponseWriter, r *http.Request, st *state) {
 	l.s.mu.Lock()
 	if l.states[st.id] == st && st.claims == 0 {
 		st.lease.Reset(st.hold)
@@ -830,12 +828,7 @@
 }
 
 // claim holds a state for a writer that waits for a slot, as long as the writer keeps the connection.
-func (l *life) claim(w http.ResponseWriter, r *http.Request) {
-	st := l.find(r)
-	if st == nil {
-		writeJSON(w, http.StatusNotFound, kserve.ErrorResponse{Error: "no such state"})
-		return
-	}
+func (l *life) claim(w http.ResponseWriter, r *http.Request, st *state) {
 	l.claimed(st, true)
 	defer l.claimed(st, false)
 	w.WriteHeader(http.StatusOK)
@@ -844,12 +837,7 @@
 }
 
 // fetch sends a state's bytes; when the last has gone the state is let go here.
-func (l *life) fetch(w http.ResponseWriter, r *http.Request) {
-	st := l.find(r)
-	if st == nil {
-		writeJSON(w, http.StatusNotFound, kserve.ErrorResponse{Error: "no such state"})
-		return
-	}
+func (l *life) fetch(w http.ResponseWriter, r *http.Request, st *state) {
 	l.claimed(st, true)
 	defer l.claimed(st, false)
 	w.Header().Set("Content-Length", strconv.Itoa(st.prompt*l.s.cfg.Spec.TokenBytes))
