--- /dev/null
+++ b/roles/demand_test.go
@@ -0,0 +1,126 @@
+package roles
+
+import (
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gonum.org/v1/gonum/stat/distuv"
+)
+
+// feed plays arrivals at random with a rate over a time, and returns the time of its end.
+func feed(d *Demand, rng *rand.Rand, from, length time.Duration, rate float64, class int, prompt, answer float64) time.Duration {
+	gap := distuv.Exponential{Rate: rate, Src: rng}
+	p := distuv.LogNormal{Mu: math.Log(prompt) - 0.32, Sigma: 0.8, Src: rng}
+	a := distuv.LogNormal{Mu: math.Log(answer) - 0.18, Sigma: 0.6, Src: rng}
+	for at := from; ; {
+		at += time.Duration(gap.Rand() * 1e9)
+		if at > from+length {
+			return from + length
+		}
+		d.Arrived(at, Arrival{Class: class})
+		d.Read(Arrival{Class: class, Prompt: p.Rand()})
+		d.Written(Arrival{Class: class, Answer: a.Rand()})
+	}
+}
+
+func source(seed uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, 1)) }
+
+// The forecast's 90% interval holds the true work about as often as it says.
+func TestForecastIsHonest(t *testing.T) {
+	inside, n := 0, 0
+	for seed := range uint64(200) {
+		rng := source(seed)
+		d := NewDemand(1)
+		now := feed(d, rng, 0, 2*time.Minute, 10, 0, 800, 100)
+		for st, w := range d.Forecast(now, time.Minute) {
+			truth := []float64{8000, 1000}[st]
+			n++
+			if math.Abs(w.Mean-truth) < 1.645*w.SD {
+				inside++
+			}
+			if w.SD > truth/2 {
+				t.Fatalf("seed %d: %+v is no forecast", seed, w)
+			}
+		}
+	}
+	if share := float64(inside) / float64(n); share < 0.85 {
+		t.Errorf("the truth lies within the 90%% interval in %.2f of %d", share, n)
+	}
+}
+
+// Demand is what is asked: whether a request is served, refused or late is not told, and a client's repeats
+// do not count again.
+func TestRepeatsAreNoDemand(t *testing.T) {
+	d := NewDemand(1)
+	for i := range 1000 {
+		at := time.Duration(i) * 100 * time.Millisecond
+		d.Arrived(at, Arrival{})
+		d.Arrived(at, Arrival{Retry: true})
+	}
+	mean, _ := d.classes[0].long.rate(100 * time.Second)
+	if math.Abs(mean-10) > 0.5 {
+		t.Errorf("%.1f requests a second, want 10", mean)
+	}
+}
+
+// A few very long prompts, or one burst, move the forecast by little; a lasting change moves it.
+func TestRobustness(t *testing.T) {
+	d := NewDemand(1)
+	now := feed(d, source(1), 0, 5*time.Minute, 10, 0, 800, 100)
+	before := d.Forecast(now, time.Minute)
+	for range 5 {
+		d.Read(Arrival{Prompt: 30000})
+	}
+	if after := d.Forecast(now, time.Minute); after[Prefill].Mean > 1.25*before[Prefill].Mean {
+		t.Errorf("five long prompts: %.0f to %.0f", before[Prefill].Mean, after[Prefill].Mean)
+	}
+	burst := feed(d, source(2), now, 3*time.Second, 30, 0, 800, 100)
+	w := d.Forecast(burst, time.Minute)
+	if w[Decode].Mean > 1.5*before[Decode].Mean {
+		t.Errorf("a burst of 3 s: %.0f to %.0f", before[Decode].Mean, w[Decode].Mean)
+	}
+	if w[Decode].SD <= before[Decode].SD {
+		t.Error("a burst makes the forecast surer")
+	}
+	lasting := feed(d, source(3), burst, 2*time.Minute, 30, 0, 800, 100)
+	if w := d.Forecast(lasting, time.Minute); w[Decode].Mean < 2.3*before[Decode].Mean {
+		t.Errorf("three times the traffic for two minutes: %.0f to %.0f", before[Decode].Mean, w[Decode].Mean)
+	}
+}
+
+// Answers that were cut off count as longer than what was seen of them.
+func TestCutAnswers(t *testing.T) {
+	rng := source(4)
+	draw := distuv.LogNormal{Mu: math.Log(100), Sigma: 0.6, Src: rng}
+	var whole, blind, told length
+	for range 3000 {
+		x := draw.Rand()
+		whole.learn(x, false)
+		seen := math.Min(x, 120)
+		blind.learn(seen, false)
+		told.learn(seen, x > 120)
+	}
+	want, _, _ := whole.mean()
+	low, _, _ := blind.mean()
+	got, _, _ := told.mean()
+	if math.Abs(got-want) > math.Abs(low-want)/2 {
+		t.Errorf("mean %.0f; with cut answers %.0f, taken for whole %.0f", want, got, low)
+	}
+}
+
+func TestNothingSeen(t *testing.T) {
+	d := NewDemand(2)
+	for _, w := range d.Forecast(0, time.Minute) {
+		if math.IsNaN(w.Mean) || math.IsNaN(w.SD) || w.SD < w.Mean/2 {
+			t.Errorf("nothing was seen, and the forecast is %+v", w)
+		}
+	}
+	d.Arrived(0, Arrival{Class: 9}) // of no class that is known
+	d.Read(Arrival{Class: -1, Prompt: 1})
+	d.Arrived(time.Hour, Arrival{Class: 1})
+	if w := d.Forecast(2*time.Hour, time.Minute); math.IsNaN(w[Decode].Mean) || w[Decode].Mean > 100 {
+		t.Errorf("an hour after the last arrival: %+v", w)
+	}
+}
--- /dev/null
+++ b/roles/plan_test.go
@@ -0,0 +1,225 @@
+package roles
+
+import (
+	"errors"
+	"fmt"
+	"math"
+	"math/bits"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+func work(read, write float64) [stages]Work {
+	return [stages]Work{{read, read / 20}, {write, write / 20}}
+}
+
+func costs() Costs {
+	return Costs{Horizon: 5 * time.Minute, Away: 30 * time.Second, Reread: 0.5, Load: 0.8, Changes: 3}
+}
+
+// fleet is engines that can do both, in two cells.
+func fleet(readers, writers int) (out []Engine) {
+	for i := range readers + writers {
+		e := Engine{ID: uint64(i + 1), Cell: i % 2, Role: Prefill, Cap: [stages]float64{10000, 1000}}
+		if i >= readers {
+			e.Role = Decode
+		}
+		out = append(out, e)
+	}
+	return out
+}
+
+func TestPlanMovesWhereWorkIs(t *testing.T) {
+	for _, c := range []struct {
+		name        string
+		read, write float64
+		moves       int
+		to          Stage
+	}{
+		{"balanced", 40000, 4000, 0, 0},
+		{"readers short", 70000, 2000, 3, Prefill},
+		{"writers short", 20000, 7500, 3, Decode},
+		{"a little more reading", 47000, 3000, 1, Prefill},
+		{"both short: no change helps", 200000, 20000, 0, 0},
+		{"idle", 100, 10, 0, 0},
+		{"nothing", 0, 0, 0, 0},
+	} {
+		p, err := Solve(fleet(6, 6), work(c.read, c.write), costs())
+		if err != nil {
+			t.Fatal(err)
+		}
+		ok := len(p.Moves) == c.moves && (c.moves == 0) == (p.Then == p.Now)
+		for _, m := range p.Moves {
+			ok = ok && m.To == c.to
+		}
+		if !ok {
+			t.Errorf("%s: %+v", c.name, p)
+		}
+	}
+}
+
+func TestPlanKeepsItsBounds(t *testing.T) {
+	c := costs()
+	c.Least[Decode] = 5
+	if p, _ := Solve(fleet(6, 6), work(90000, 500), c); len(p.Moves) != 1 {
+		t.Errorf("five writers at least: %+v", p)
+	}
+	c = costs()
+	c.Most[Prefill] = 8
+	if p, _ := Solve(fleet(6, 6), work(90000, 500), c); len(p.Moves) != 2 {
+		t.Errorf("eight readers at most: %+v", p)
+	}
+	// An engine that is away counts among the changes.
+	f := fleet(6, 6)
+	f[0].Absent, f[1].Absent = true, true
+	if p, _ := Solve(f, work(90000, 500), costs()); len(p.Moves) != 1 {
+		t.Errorf("two are away: %+v", p)
+	}
+	// The last writer of a cell stays.
+	f = fleet(2, 2)
+	if p, _ := Solve(f, work(90000, 10), costs()); len(p.Moves) != 0 {
+		t.Errorf("one writer in each cell: %+v", p)
+	}
+	// Fixed engines, and those of one role only, do not move; the one that loses least does.
+	f = fleet(6, 6)
+	for i := range f {
+		f[i].Held = float64(100 * (20 - i))
+	}
+	f[11].Fixed = true
+	f[10].Cap[Prefill] = 0
+	c = costs()
+	c.Changes = 1
+	if p, _ := Solve(f, work(90000, 500), c); len(p.Moves) != 1 || p.Moves[0] != (Move{10, Prefill}) {
+		t.Errorf("%+v", p)
+	}
+	for i := range f {
+		f[i].Fixed = true
+	}
+	if p, _ := Solve(f, work(90000, 500), costs()); len(p.Moves) != 0 {
+		t.Errorf("all are fixed: %+v", p)
+	}
+	c.Away = c.Horizon
+	if _, err := Solve(f, work(1, 1), c); !errors.Is(err, ErrHorizon) {
+		t.Error(err)
+	}
+}
+
+// A change that takes longer than it can earn back is not planned.
+func TestPlanWeighsItsCost(t *testing.T) {
+	c := costs()
+	demand := work(50000, 5000) // one more reader would help while one writer less hurts as much
+	f := fleet(6, 6)
+	for i := range f {
+		f[i].Held = 1e6 // tokens that have to be read again
+	}
+	c.Away = 5 * time.Second
+	cheap, _ := Solve(f, work(52000, 3700), c)
+	c.Away = 280 * time.Second
+	dear, _ := Solve(f, work(52000, 3700), c)
+	if len(cheap.Moves) == 0 || len(dear.Moves) != 0 {
+		t.Errorf("cheap %+v, dear %+v", cheap, dear)
+	}
+	if p, _ := Solve(fleet(6, 6), demand, costs()); len(p.Moves) != 0 {
+		t.Errorf("nothing to gain: %+v", p)
+	}
+}
+
+// Against every subset of moves of small fleets, the search finds the best, but for the steps by which it
+// tells capacities apart.
+func TestPlanIsTheBest(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(2, 8).Draw(t, "engines")
+		var f []Engine
+		for i := range n {
+			f = append(f, Engine{ID: uint64(i + 1), Kind: rapid.IntRange(0, 1).Draw(t, "kind"), Cell: rapid.IntRange(0, 1).Draw(t, "cell"),
+				Role: Stage(rapid.IntRange(0, 1).Draw(t, "role")), Fixed: rapid.Bool().Draw(t, "fixed")})
+			f[i].Cap = [2][stages]float64{{10000, 1000}, {16000, 800}}[f[i].Kind]
+		}
+		demand := work(rapid.Float64Range(0, 120000).Draw(t, "read"), rapid.Float64Range(0, 9000).Draw(t, "write"))
+		c := costs()
+		c.Changes = rapid.IntRange(0, 4).Draw(t, "changes")
+		p, err := Solve(f, demand, c)
+		if err != nil {
+			t.Fatal(err)
+		}
+		best := brute(f, demand, c)
+		if p.Then < best-0.01 || p.Then > best+1e-9 || len(p.Moves) > c.Changes {
+			t.Fatalf("found %.4f with %v, the best is %.4f", p.Then, p.Moves, best)
+		}
+	})
+}
+
+// brute tries every subset of moves.
+func brute(f []Engine, demand [stages]Work, c Costs) float64 {
+	cases := scenarios(demand)
+	here := 1 - c.Away.Seconds()/c.Horizon.Seconds()
+	best := 0.0
+	for set := range 1 << len(f) {
+		if bits.OnesCount(uint(set)) > c.Changes {
+			continue
+		}
+		var cap [stages]float64
+		left := map[[2]int]int{}
+		was := map[[2]int]bool{}
+		ok, total, had := true, [stages]int{}, [stages]int{}
+		for i := range f {
+			e := &f[i]
+			key := [2]int{e.Cell, int(e.Role)}
+			was[key] = true
+			had[e.Role]++
+			if set>>i&1 == 0 {
+				cap[e.Role] += e.Cap[e.Role]
+				left[key]++
+				total[e.Role]++
+				continue
+			}
+			ok = ok && !e.Fixed && e.Cap[1-e.Role] > 0
+			cap[1-e.Role] += e.Cap[1-e.Role] * here
+			total[1-e.Role]++
+		}
+		for key := range was { // engines that come in are cold: the last sound one has to stay
+			ok = ok && left[key] > 0
+		}
+		for st := range had {
+			ok = ok && (had[st] == 0 || total[st] > 0)
+		}
+		if ok {
+			best = math.Max(best, served(cap, c.Load, cases))
+		}
+	}
+	return best
+}
+
+// The order of the engines does not matter: routers that know the same plan the same.
+func TestPlanIsTheSameForAll(t *testing.T) {
+	f := fleet(8, 8)
+	back := make([]Engine, 0, len(f))
+	for i := range f {
+		back = append(back, f[len(f)-1-i])
+	}
+	a, _ := Solve(f, work(110000, 3000), costs())
+	b, _ := Solve(back, work(110000, 3000), costs())
+	if fmt.Sprint(a) != fmt.Sprint(b) || len(a.Moves) == 0 {
+		t.Errorf("%+v and %+v", a, b)
+	}
+}
+
+func BenchmarkSolve(b *testing.B) {
+	for _, n := range []int{50, 200, 1000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			var f []Engine
+			for i := range n {
+				f = append(f, Engine{ID: uint64(i + 1), Kind: i % 2, Cell: i / 6, Role: Stage(i / 2 % 2), Cap: [stages]float64{10000, 1000}})
+			}
+			c := costs()
+			c.Changes = n / 10
+			for b.Loop() {
+				if _, err := Solve(f, work(float64(n)*7000, float64(n)*200), c); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
--- a/test.sh
+++ b/test.sh
@@ -2,7 +2,7 @@
 # The project's tests: formatting, vet, and every test with the race detector.
 set -euo pipefail
 cd "$(dirname "$0")"
-unformatted=$(gofmt -l cmd decide internal)
+unformatted=$(gofmt -l cmd decide internal roles)
 if [ -n "$unformatted" ]; then
 	echo "gofmt: $unformatted" >&2
 	exit 1
