Engines change roles: protocol, client and stand-in, with an epoch that fences

Change: GET and POST /v2/role and stay in the protocol, the engines' client and the stand-in, which empties, changes in real time, and comes back cold; faults that refuse, hang, die and come back in the old role.

Result: of eight routers that ask at once one is granted; what runs ends, new work is refused as never run; each failure ends at the role and epoch that it should.

--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -409,3 +409,45 @@
 	}
 	return Result{Outcome: decide.Served, Report: l.Decide()}
 }
+
+// Role asks an engine for its role.
+func (c *Client) Role(ctx context.Context, addr string) (Role, error) {
+	r, _, err := c.role(ctx, http.MethodGet, addr, RolePath, nil)
+	return r, err
+}
+
+// ChangeRole asks an engine to change, and tells whether it grants that, with what it is now.
+func (c *Client) ChangeRole(ctx context.Context, addr string, q *RoleChange) (Role, bool, error) {
+	return c.role(ctx, http.MethodPost, addr, RolePath, q)
+}
+
+// StayRole asks an engine to take a change back, and tells whether it does.
+func (c *Client) StayRole(ctx context.Context, addr string, q *RoleStay) (Role, bool, error) {
+	return c.role(ctx, http.MethodPost, addr, RolePath+"/stay", q)
+}
+
+func (c *Client) role(ctx context.Context, method, addr, path string, q any) (r Role, granted bool, err error) {
+	ctx, cancel := context.WithTimeout(ctx, c.opts.ProbeWithin)
+	defer cancel()
+	var body []byte
+	if q != nil {
+		if body, err = json.Marshal(q); err != nil {
+			return r, false, err
+		}
+	}
+	x := c.post(ctx, method, addr, path, body)
+	if x.err != nil {
+		return r, false, x.err
+	}
+	defer discard(x.resp.Body)
+	if code := x.resp.StatusCode; code != http.StatusOK && code != http.StatusConflict {
+		return r, false, refused(x.resp).Err
+	}
+	if err := kserve.Decode(io.LimitReader(x.resp.Body, maxAnswer), &r); err != nil {
+		return r, false, fmt.Errorf("%w: %w", errNotAnswer, err)
+	}
+	if r.Role == "" || r.Phase == "" {
+		return r, false, fmt.Errorf("%w: it names no role", errNotAnswer)
+	}
+	return r, x.resp.StatusCode == http.StatusOK, nil
+}
--- a/internal/engine/wire.go
+++ b/internal/engine/wire.go
@@ -19,6 +19,7 @@
 	LoadPath    = "/v2/load"      // GET: the load report
 	StatePath   = "/v2/kv/state/" // GET: fetch; POST .../release, .../renew, .../claim
 	PlacePath   = "/v2/kv/place/" // PUT: hold; DELETE: give up; POST .../state: the state moves there
+	RolePath    = "/v2/role"      // GET: Role; POST: RoleChange; POST .../stay: RoleStay
 	RequestPath = "/v2/kv/read/"  // DELETE: call a read off, or its state; POST .../place: where it is to go
 
 	// RefusedHeader says why an engine has not run a request at all.
@@ -88,6 +89,36 @@
 	Kept   float64 `json:"kept_tokens"`
 }
 
+// The phases of an engine on its way from one role to another.
+const (
+	PhaseSteady   = "steady"
+	PhaseEmptying = "emptying" // it takes nothing new, and what runs there ends
+	PhaseChanging = "changing" // it does nothing
+)
+
+// Role is what an engine says of its role. Its own word, with its epoch, is the truth.
+type Role struct {
+	Role  string    `json:"role"` // StagePrefill, StageDecode or "both"
+	Epoch uint64    `json:"epoch"`
+	Phase string    `json:"phase"`
+	To    string    `json:"to,omitempty"`    // while it changes
+	Since time.Time `json:"since,omitzero"`  // its last start or change; zero: long ago
+	Other bool      `json:"other,omitempty"` // it can change
+}
+
+// RoleChange asks for a change from an epoch. The engine grants it (200) only if it is steady at that epoch;
+// else it answers 409. Either way the body is its Role.
+type RoleChange struct {
+	To     string `json:"to"`
+	Epoch  uint64 `json:"epoch"`
+	Router string `json:"router"` // who asks, for the log
+}
+
+// RoleStay takes a change back while the engine is still emptying: 200, else 409.
+type RoleStay struct {
+	Epoch uint64 `json:"epoch"`
+}
+
 // LoadReport is a load report on the wire; a field that is not told is nil.
 type LoadReport struct {
 	MemoryShare   *float64 `json:"kv_cache_utilization,omitempty"`
--- a/internal/standin/engine/faults.go
+++ b/internal/standin/engine/faults.go
@@ -34,6 +34,10 @@
 	"half_frame":     "share Size of the answers stops in the middle of an event",
 	"two_answers":    "share Size is answered twice",
 	"wrong_id":       "share Size is answered with another id",
+	"role_refuse":    "refuses changes of role",
+	"role_hang":      "stays in a change of role until the fault is over",
+	"role_die":       "the process dies in a change of role, and comes back after Size seconds in its old role",
+	"role_old":       "comes out of a change in its old role",
 	"long_headers":   "share Size is answered with headers without end",
 }
 
--- /dev/null
+++ b/internal/standin/engine/role_test.go
@@ -0,0 +1,161 @@
+package engine
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"mintdoor/decide"
+	"mintdoor/internal/engine"
+
+	"go.uber.org/goleak"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// changeable is an engine that reads, and could write.
+func changeable(t *testing.T) (*Server, *engine.Client) {
+	t.Helper()
+	read, write := Prefill(), Decode()
+	read.ReadPerS, write.Step = 2000, time.Millisecond
+	s := New(Config{Name: "e", Addr: "127.0.0.1:0", Spec: read, Other: &write, Change: 10 * time.Millisecond, Seed: 1}, nil)
+	if err := s.Start(); err != nil {
+		t.Fatal(err)
+	}
+	c := engine.New(engine.Options{DialTimeout: time.Second, MaxConns: 50, StreamIdle: time.Second, ReleaseWithin: time.Second, ProbeWithin: 5 * time.Second})
+	t.Cleanup(func() { c.Close(); s.Close() })
+	return s, c
+}
+
+func readCall(id string) *engine.Call {
+	return &engine.Call{ID: id, Model: "m", Prompt: "x", Params: engine.Params{Stage: engine.StagePrefill, Request: "r-1." + id,
+		PromptTokens: 200, HoldMillis: 50}}
+}
+
+// until asks for the role until it is as wanted.
+func until(t *testing.T, s *Server, c *engine.Client, what string, ok func(engine.Role) bool) engine.Role {
+	t.Helper()
+	for end := time.Now().Add(20 * time.Second); ; time.Sleep(time.Millisecond) {
+		r, err := c.Role(t.Context(), s.Addr())
+		if err == nil && ok(r) {
+			return r
+		}
+		if time.Now().After(end) {
+			t.Fatalf("not seen: %s; %+v, %v", what, r, err)
+		}
+	}
+}
+
+func steady(r engine.Role) bool { return r.Phase == engine.PhaseSteady }
+
+func TestChangeOfRole(t *testing.T) {
+	s, c := changeable(t)
+	r, err := c.Role(t.Context(), s.Addr())
+	if err != nil || r.Role != engine.StagePrefill || r.Epoch != 1 || !steady(r) || !r.Other {
+		t.Fatalf("%+v, %v", r, err)
+	}
+	running := make(chan engine.Result, 1)
+	go func() { running <- c.Prefill(t.Context(), s.Addr(), readCall("a")) }()
+	for n := 0; n == 0; n, _ = s.Holding() {
+		time.Sleep(time.Millisecond)
+	}
+	// Many ask at once: one is granted, and an old epoch never is.
+	granted := make(chan bool, 8)
+	for i := range 8 {
+		go func() {
+			_, ok, err := c.ChangeRole(t.Context(), s.Addr(), &engine.RoleChange{To: engine.StageDecode, Epoch: uint64(i % 2), Router: fmt.Sprint(i)})
+			if err != nil {
+				t.Error(err)
+			}
+			granted <- ok
+		}()
+	}
+	n := 0
+	for range 8 {
+		if <-granted {
+			n++
+		}
+	}
+	if n != 1 {
+		t.Errorf("%d were granted the same change", n)
+	}
+	if res := c.Prefill(t.Context(), s.Addr(), readCall("b")); res.Outcome != decide.Full {
+		t.Errorf("new work while it empties: outcome %d, %v", res.Outcome, res.Err)
+	}
+	if res := <-running; res.Outcome != decide.ReadDone {
+		t.Errorf("what ran: outcome %d, %v", res.Outcome, res.Err)
+	}
+	r = until(t, s, c, "it writes", func(r engine.Role) bool { return r.Role == engine.StageDecode && steady(r) })
+	if r.Epoch != 2 || time.Since(r.Since) > time.Minute {
+		t.Errorf("%+v", r)
+	}
+	s.mu.Lock()
+	share := s.life.model.share(time.Now())
+	s.mu.Unlock()
+	if share > 0.9 {
+		t.Errorf("it came back warm: %.2f of its capacity", share)
+	}
+	if res := c.Prefill(t.Context(), s.Addr(), readCall("c")); res.Outcome != decide.Full {
+		t.Errorf("a read at a writer: outcome %d", res.Outcome)
+	}
+	if _, ok, _ := c.ChangeRole(t.Context(), s.Addr(), &engine.RoleChange{To: engine.StagePrefill, Epoch: 1}); ok {
+		t.Error("an old epoch was granted")
+	}
+	if _, ok, _ := c.ChangeRole(t.Context(), s.Addr(), &engine.RoleChange{To: engine.StagePrefill, Epoch: 2}); !ok {
+		t.Error("the way back was refused")
+	}
+	until(t, s, c, "it reads again", func(r engine.Role) bool { return r.Role == engine.StagePrefill && r.Epoch == 3 })
+}
+
+func TestStayInRole(t *testing.T) {
+	s, c := changeable(t)
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan engine.Result, 1)
+	q := readCall("a")
+	q.Params.PromptTokens = 20000 // ten seconds: it does not empty by itself
+	go func() { done <- c.Prefill(ctx, s.Addr(), q) }()
+	for n := 0; n == 0; n, _ = s.Holding() {
+		time.Sleep(time.Millisecond)
+	}
+	c.ChangeRole(t.Context(), s.Addr(), &engine.RoleChange{To: engine.StageDecode, Epoch: 1})
+	if r, ok, err := c.StayRole(t.Context(), s.Addr(), &engine.RoleStay{Epoch: 1}); !ok || err != nil || !steady(r) || r.Role != engine.StagePrefill {
+		t.Errorf("%+v, %v, %v", r, ok, err)
+	}
+	if _, ok, _ := c.StayRole(t.Context(), s.Addr(), &engine.RoleStay{Epoch: 1}); ok {
+		t.Error("a change was taken back that there is not")
+	}
+	cancel()
+	<-done
+}
+
+func TestChangesThatFail(t *testing.T) {
+	for _, c := range []struct {
+		fault string
+		grant bool
+		role  string
+		epoch uint64
+	}{
+		{"role_refuse", false, engine.StagePrefill, 1},
+		{"role_old", true, engine.StagePrefill, 1},
+		{"role_die", true, engine.StagePrefill, 1},
+		{"role_hang", true, engine.StageDecode, 2},
+	} {
+		t.Run(c.fault, func(t *testing.T) {
+			s, client := changeable(t)
+			if err := s.Play(Fault{Kind: c.fault, For: time.Hour, Size: 0.001}); err != nil {
+				t.Fatal(err)
+			}
+			if _, ok, err := client.ChangeRole(t.Context(), s.Addr(), &engine.RoleChange{To: engine.StageDecode, Epoch: 1}); ok != c.grant || err != nil {
+				t.Fatalf("granted %v, %v", ok, err)
+			}
+			if c.fault == "role_hang" {
+				until(t, s, client, "it changes", func(r engine.Role) bool { return r.Phase == engine.PhaseChanging })
+				s.Clear("")
+			}
+			until(t, s, client, "it is steady", func(r engine.Role) bool {
+				return steady(r) && r.Role == c.role && r.Epoch == c.epoch && (c.fault != "role_die" || !r.Since.IsZero())
+			})
+		})
+	}
+}
--- a/internal/standin/engine/server.go
+++ b/internal/standin/engine/server.go
@@ -19,6 +19,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"mintdoor/decide"
@@ -36,7 +37,10 @@
 	Addr   string // where it listens; port 0 takes a free one and keeps it over restarts
 	Cell   string
 	Spec   Spec
-	Link   *Link // of the cell, shared by its engines; nil: as fast as the port
+	Other  *Spec         // what it can do in its other role; nil: it has but one
+	Change time.Duration // that a change of role takes, once it is empty
+	Keeps  bool          // it keeps prefixes over a change
+	Link   *Link         // of the cell, shared by its engines; nil: as fast as the port
 	Seed   uint64
 	Cold   bool       // starts cold
 	Record *audit.Log // nil: none
@@ -95,8 +99,11 @@
 	addr string
 	http *http.Client // to other engines
 
+	spec atomic.Pointer[Spec] // of its present role
+
 	mu      sync.Mutex
 	life    *life // nil while down
+	role    roleState
 	faults  faults
 	since   time.Time
 	drained bool
@@ -160,6 +167,8 @@
 		cfg.Log = slog.New(slog.DiscardHandler)
 	}
 	s := &Server{cfg: cfg, log: cfg.Log.With("engine", cfg.Name), addr: cfg.Addr, onStart: onStart}
+	s.spec.Store(&cfg.Spec)
+	s.role.epoch = 1
 	s.faults.rng = rand.New(rand.NewPCG(cfg.Seed, 1))
 	s.ctx, s.end = context.WithCancel(context.Background())
 	s.http = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64, IdleConnTimeout: 5 * time.Second}}
@@ -183,7 +192,7 @@
 	}
 	s.addr = raw.Addr().String()
 	now := time.Now()
-	l := &life{s: s, model: newModel(s.cfg.Spec, now, cold), wake: make(chan struct{}, 1),
+	l := &life{s: s, model: newModel(*s.spec.Load(), now, cold), wake: make(chan struct{}, 1),
 		states: map[string]*state{}, reads: map[string]*read{}, places: map[string]*place{}}
 	l.ctx, l.end = context.WithCancel(s.ctx)
 	l.listener = &listener{Listener: raw, life: l, conns: map[*conn]bool{}}
@@ -193,16 +202,8 @@
 	if cold {
 		s.since = now
 	}
-	stage := engine.StageDecode
-	if s.cfg.Spec.Role == decide.Reader {
-		stage = engine.StagePrefill
-	}
-	rec := audit.Record{Who: s.cfg.Name, What: audit.Started, N: s.cfg.Spec.capacity(), Work: s.cfg.Spec.ColdFrom,
-		Deadline: int64(s.cfg.Spec.ColdFor), Note: stage}
-	if !cold {
-		rec.At = now.Add(-s.cfg.Spec.ColdFor).UnixNano()
-	}
-	s.cfg.Record.Add(rec)
+	s.role.phase = engine.PhaseSteady // a change that was under way is lost with the process
+	s.recordStart(now, cold)
 	s.work.Add(2)
 	go func() { defer s.work.Done(); l.http.Serve(l.listener) }()
 	go func() { defer s.work.Done(); l.run() }()
@@ -212,6 +213,17 @@
 	return nil
 }
 
+// recordStart tells the audit of a start, in whichever role.
+func (s *Server) recordStart(now time.Time, cold bool) {
+	spec := s.spec.Load()
+	rec := audit.Record{At: now.UnixNano(), Who: s.cfg.Name, What: audit.Started, N: spec.capacity(), Work: spec.ColdFrom,
+		Deadline: int64(spec.ColdFor), Note: stageOf(spec)}
+	if !cold {
+		rec.At -= int64(spec.ColdFor)
+	}
+	s.cfg.Record.Add(rec)
+}
+
 // Addr is where the engine listens.
 func (s *Server) Addr() string {
 	s.mu.Lock()
@@ -401,7 +413,7 @@
 			}
 			l.s.mu.Unlock()
 		default:
-			t := time.NewTimer(l.s.cfg.Spec.ReportEvery)
+			t := time.NewTimer(l.s.spec.Load().ReportEvery)
 			select {
 			case <-l.wake:
 			case <-t.C:
@@ -421,13 +433,13 @@
 
 // sample takes a load report now and then; what is told is one of some time ago.
 func (l *life) sample(now time.Time) {
-	if n := len(l.reports); n > 0 && now.Sub(l.reports[n-1].at) < l.s.cfg.Spec.ReportEvery {
+	if n := len(l.reports); n > 0 && now.Sub(l.reports[n-1].at) < l.s.spec.Load().ReportEvery {
 		return
 	}
 	share, waiting, latency := l.model.load()
 	l.reports = append(l.reports, report{now, engine.LoadReport{MemoryShare: &share, WaitingTokens: &waiting,
 		LatencyMillis: &latency}})
-	late := l.s.cfg.Spec.ReportDelay + time.Duration(l.s.faults.largest("report_late", 0, now)*1e9)
+	late := l.s.spec.Load().ReportDelay + time.Duration(l.s.faults.largest("report_late", 0, now)*1e9)
 	for len(l.reports) > 1 && now.Sub(l.reports[1].at) >= late {
 		l.reports = l.reports[1:]
 	}
@@ -456,6 +468,9 @@
 	mux.HandleFunc("POST "+engine.PlacePath+"{request}/state", l.stateComes)
 	mux.HandleFunc("POST "+engine.RequestPath+"{request}/place", l.tellPlace)
 	mux.HandleFunc("DELETE "+engine.RequestPath+"{request}", l.callOff)
+	mux.HandleFunc("GET "+engine.RolePath, l.tellRole)
+	mux.HandleFunc("POST "+engine.RolePath, l.changeRole)
+	mux.HandleFunc("POST "+engine.RolePath+"/stay", l.stay)
 	mux.HandleFunc("GET /v2/health/ready", func(w http.ResponseWriter, r *http.Request) {
 		writeJSON(w, http.StatusOK, map[string]bool{"ready": true})
 	})
@@ -518,7 +533,7 @@
 
 func (a *attempt) record(what audit.What, note string) {
 	a.l.s.cfg.Record.Add(audit.Record{Who: a.l.s.cfg.Name, What: what, ID: a.id, Client: a.p.Client,
-		Router: a.router, Class: a.p.Class, Stage: a.p.Stage, Work: a.l.s.cfg.Spec.meanWork(), Note: note})
+		Router: a.router, Class: a.p.Class, Stage: a.p.Stage, Work: a.l.s.spec.Load().meanWork(), Note: note})
 }
 
 // enter does what comes before any work: it records the arrival and plays the faults that strike at the
@@ -535,14 +550,14 @@
 	ill := f.strikes("class_fail", a.p.Class, now)
 	endless := f.strikes("long_headers", a.p.Class, now)
 	l.model.weigh(now)
-	fallen, drained := l.model.fallen, l.s.drained
+	fallen, drained := l.model.fallen, l.s.drained || l.s.role.phase != engine.PhaseSteady
 	if fallen && !l.silent {
 		l.silent = true
 		l.s.cfg.Record.Add(audit.Record{Who: l.s.cfg.Name, What: audit.Fell})
 	}
 	l.s.mu.Unlock()
-	role := a.p.Stage == engine.StagePrefill && l.s.cfg.Spec.Role&decide.Reader == 0 ||
-		a.p.Stage == engine.StageDecode && l.s.cfg.Spec.Role&decide.Writer == 0
+	role := a.p.Stage == engine.StagePrefill && l.s.spec.Load().Role&decide.Reader == 0 ||
+		a.p.Stage == engine.StageDecode && l.s.spec.Load().Role&decide.Writer == 0
 	switch {
 	case fallen || ill != nil && ill.How == "silence":
 		a.record(audit.Turned, "silence")
@@ -568,7 +583,7 @@
 		a.record(audit.Turned, engine.RefusedFull)
 		l.turn(w, engine.RefusedFull, "no more of this class")
 		return false
-	case int(a.p.PromptTokens)+1 > l.s.cfg.Spec.Context:
+	case int(a.p.PromptTokens)+1 > l.s.spec.Load().Context:
 		a.record(audit.Turned, "context")
 		writeJSON(w, http.StatusBadRequest, kserve.ErrorResponse{Error: "the prompt is longer than the context"})
 		return false
@@ -603,7 +618,7 @@
 		n, _ = strconv.Atoi(m[1])
 	} else {
 		const sigma = 0.6
-		mean := max(l.s.cfg.Spec.MeanAnswer, 1)
+		mean := max(l.s.spec.Load().MeanAnswer, 1)
 		d := distuv.LogNormal{Mu: math.Log(mean) - sigma*sigma/2, Sigma: sigma,
 			Src: rand.NewPCG(xxhash.Sum64String(prompt), l.s.cfg.Seed)}
 		n = int(d.Rand())
@@ -840,10 +855,10 @@
 func (l *life) fetch(w http.ResponseWriter, r *http.Request, st *state) {
 	l.claimed(st, true)
 	defer l.claimed(st, false)
-	w.Header().Set("Content-Length", strconv.Itoa(st.prompt*l.s.cfg.Spec.TokenBytes))
+	w.Header().Set("Content-Length", strconv.Itoa(st.prompt*l.s.spec.Load().TokenBytes))
 	w.Header().Set(engine.TokensHeader, strconv.Itoa(st.prompt))
 	w.Header().Set(engine.InfoHeader, strconv.Itoa(st.answer))
-	w.Header().Set(engine.SumHeader, strconv.FormatUint(stateSum(st.id, st.prompt*l.s.cfg.Spec.TokenBytes), 16))
+	w.Header().Set(engine.SumHeader, strconv.FormatUint(stateSum(st.id, st.prompt*l.s.spec.Load().TokenBytes), 16))
 	if l.sendState(r.Context(), w, st, r.Header.Get("Kv-Cell")) != nil {
 		return
 	}
@@ -857,21 +872,21 @@
 func (l *life) sendState(ctx context.Context, w io.Writer, st *state, toCell string) error {
 	const chunk = 256 // tokens
 	gen := newPattern(st.id)
-	buf := make([]byte, chunk*l.s.cfg.Spec.TokenBytes)
+	buf := make([]byte, chunk*l.s.spec.Load().TokenBytes)
 	for left := st.prompt; left > 0; left -= chunk {
 		n := min(left, chunk)
 		l.s.mu.Lock()
 		slow := l.s.faults.largest("origin_slow", 1, time.Now())
 		l.s.mu.Unlock()
 		if toCell == l.s.cfg.Cell || l.s.cfg.Link == nil {
-			pause(ctx, time.Duration(float64(n)/l.s.cfg.Spec.PortPerS*slow*1e9))
+			pause(ctx, time.Duration(float64(n)/l.s.spec.Load().PortPerS*slow*1e9))
 		} else {
 			l.s.cfg.Link.take(ctx, float64(n))
 		}
 		if err := cmp.Or(ctx.Err(), l.ctx.Err()); err != nil {
 			return err
 		}
-		part := buf[:n*l.s.cfg.Spec.TokenBytes]
+		part := buf[:n*l.s.spec.Load().TokenBytes]
 		gen.fill(part)
 		if _, err := w.Write(part); err != nil {
 			return err
@@ -912,7 +927,7 @@
 	if !a.enter(w, r) {
 		return
 	}
-	if a.p.Handle == "" && l.s.cfg.Spec.Role != decide.Both {
+	if a.p.Handle == "" && l.s.spec.Load().Role != decide.Both {
 		a.record(audit.Turned, engine.RefusedNoState)
 		l.turn(w, engine.RefusedNoState, "no state is named, and the engine does not read")
 		return
