Shifting roles: a manager ties demand, plan, judge and followers; routers take turns

Change: roles.Manager plans every few seconds from its part of the traffic times the routers, calls back changes that have lost their sense, and begins changes only in its turn, the middle half of a slot of wall time, so that what one begins is seen before the next has its turn.

--- /dev/null
+++ b/roles/manager.go
@@ -0,0 +1,214 @@
+package roles
+
+import (
+	"maps"
+	"math"
+	"slices"
+	"time"
+)
+
+// Turn shares out the right to begin changes among routers that do not talk: time is cut into slots, and in
+// each slot one router may begin, by its index. What it begins is seen by the others before their turn, if
+// they look at the engines' roles at least four times a slot and clocks differ by less than a quarter of
+// one: a router begins only in the middle half of its slot. The turn of a dead router passes unused.
+type Turn struct {
+	Routers int
+	Index   int
+	Slot    time.Duration
+}
+
+// May tells whether it is this router's turn at a point of wall time.
+func (t Turn) May(now time.Time) bool {
+	if t.Routers <= 1 || t.Slot <= 0 {
+		return true
+	}
+	at := now.UnixNano()
+	slot := int64(t.Slot)
+	into := at % slot
+	return (at/slot)%int64(t.Routers) == int64(t.Index) && into >= slot/4 && into < slot-slot/4
+}
+
+// Info is what discovery and the settings tell of an engine.
+type Info struct {
+	ID       uint64
+	Kind     int
+	Cell     int
+	Cap      [stages]float64 // tokens a second by role; 0: it can't
+	Draining bool            // somebody else drains it
+	Unsound  bool            // it is held to be failing
+	Held     float64         // tokens that a change would lose
+}
+
+// Config is what a Manager works by.
+type Config struct {
+	Classes    int
+	Limits     Limits
+	Costs      Costs
+	Confidence float64       // with which a change has to pay, in (0.5, 1)
+	Every      time.Duration // between plans
+	ColdFor    time.Duration // an engine is not changed again before it is warm
+	Turn       Turn
+	Dry        bool // plan and tell, change nothing
+}
+
+// Report is a plan as it was judged, for people.
+type Report struct {
+	At      time.Time
+	Demand  [stages]Work // over all routers
+	Plan    Plan
+	Verdict Verdict
+	Begun   int
+	Err     error
+}
+
+// Manager ties demand, planner, judge and follower together. Times come in, actions go out; it is not safe
+// for concurrent use.
+type Manager struct {
+	cfg    Config
+	start  time.Time
+	demand *Demand
+	judge  Judge
+	follow *Follower
+	infos  map[uint64]*Info
+	next   time.Time
+	last   Report
+}
+
+// NewManager returns a Manager that has seen nothing.
+func NewManager(cfg Config, now time.Time) *Manager {
+	return &Manager{cfg: cfg, start: now, demand: NewDemand(cfg.Classes), follow: NewFollower(cfg.Limits),
+		judge: Judge{Confidence: cfg.Confidence, Horizon: cfg.Costs.Horizon}, infos: map[uint64]*Info{}, next: now.Add(cfg.Every)}
+}
+
+// Arrived, Read and Written take in what this router sees of the traffic.
+func (m *Manager) Arrived(now time.Time, a Arrival) { m.demand.Arrived(now.Sub(m.start), a) }
+
+// Read takes in a finished read.
+func (m *Manager) Read(a Arrival) { m.demand.Read(a) }
+
+// Written takes in an answer, as far as it is known.
+func (m *Manager) Written(a Arrival) { m.demand.Written(a) }
+
+// Listed takes in all engines that there are. Those that are not among them are gone.
+func (m *Manager) Listed(now time.Time, list []Info) {
+	seen := make(map[uint64]*Info, len(list))
+	for i := range list {
+		info := list[i]
+		seen[info.ID] = &info
+	}
+	for _, id := range slices.Sorted(maps.Keys(m.infos)) {
+		if seen[id] == nil {
+			m.follow.Gone(now, id)
+		}
+	}
+	m.infos = seen
+}
+
+// Standing takes in an engine's word on its role.
+func (m *Manager) Standing(now time.Time, id uint64, s Standing, out []Action) []Action {
+	if m.infos[id] == nil {
+		return out
+	}
+	return m.follow.Seen(now, id, s, out)
+}
+
+// Answered takes in an engine's answer to Ask.
+func (m *Manager) Answered(now time.Time, id uint64, granted bool, s Standing, out []Action) []Action {
+	return m.follow.Answered(now, id, granted, s, out)
+}
+
+// Ended returns the changes that have ended since the last call.
+func (m *Manager) Ended() []Ended { return m.follow.Ended() }
+
+// Last returns the last plan as it was judged.
+func (m *Manager) Last() Report { return m.last }
+
+// Tick looks after deadlines, and plans when it is time. It is to be called some times a second.
+func (m *Manager) Tick(now time.Time, out []Action) []Action {
+	out = m.follow.Tick(now, out)
+	if now.Before(m.next) {
+		return out
+	}
+	m.next = now.Add(m.cfg.Every)
+	return m.plan(now, out)
+}
+
+// engines are the planner's view: what each engine says of its role, and what may be done to it.
+func (m *Manager) engines(now time.Time) []Engine {
+	out := make([]Engine, 0, len(m.infos))
+	for _, id := range slices.Sorted(maps.Keys(m.infos)) {
+		info, c := m.infos[id], m.follow.list[id]
+		if c == nil || !c.known {
+			continue // it has not said what it does
+		}
+		e := Engine{ID: id, Kind: info.Kind, Cell: info.Cell, Role: c.now.Role, Cap: info.Cap, Held: info.Held}
+		e.Absent = info.Unsound || info.Draining || c.now.Phase != Steady || c.step == asking
+		cold := !c.now.Starts.IsZero() && now.Sub(c.now.Starts) < m.cfg.ColdFor
+		e.Fixed = cold || !m.follow.May(id)
+		out = append(out, e)
+	}
+	return out
+}
+
+func (m *Manager) plan(now time.Time, out []Action) []Action {
+	// Each router sees its part of the traffic; the front layer spreads it evenly but for chance, which the
+	// forecast's own spread grows with.
+	all := math.Max(float64(m.cfg.Turn.Routers), 1)
+	demand := m.demand.Forecast(now.Sub(m.start), m.cfg.Costs.Horizon)
+	for st := range demand {
+		demand[st].Mean *= all
+		demand[st].SD *= all
+	}
+	engines := m.engines(now)
+	p, err := Solve(engines, demand, m.cfg.Costs)
+	m.last = Report{At: now, Demand: demand, Plan: p, Err: err}
+	if err != nil {
+		return out
+	}
+	m.last.Verdict = m.judge.Look(now.Sub(m.start), &p)
+	out = m.callOff(engines, demand, out)
+	if !m.last.Verdict.Change || m.cfg.Dry || !m.cfg.Turn.May(now) {
+		return out
+	}
+	for _, mv := range p.Moves {
+		next, err := m.follow.Begin(now, mv.Engine, mv.To, out)
+		if err != nil {
+			m.last.Err = err
+			continue
+		}
+		out = next
+		m.last.Begun++
+	}
+	if m.last.Begun > 0 {
+		m.judge.Changed()
+	}
+	return out
+}
+
+// callOff takes back changes that are still emptying when they have lost their sense: when the work would
+// be served better with the engine where it was, as after half of its role's engines have died.
+func (m *Manager) callOff(engines []Engine, demand [stages]Work, out []Action) []Action {
+	cases := scenarios(demand)
+	var cap [stages]float64
+	for i := range engines {
+		if e := &engines[i]; !e.Absent {
+			cap[e.Role] += e.Cap[e.Role]
+		}
+	}
+	for i := range engines {
+		e := &engines[i]
+		c := m.follow.list[e.ID]
+		if c.step != asking && c.step != emptying || c.to == e.Role || m.infos[e.ID].Unsound || m.infos[e.ID].Draining {
+			continue
+		}
+		back, on := cap, cap
+		back[e.Role] += e.Cap[e.Role]
+		on[c.to] += e.Cap[c.to]
+		// It has to be worth more than the change was expected to bring, else plans chase each other.
+		const least = 0.05
+		if served(back, m.cfg.Costs.Load, cases) > served(on, m.cfg.Costs.Load, cases)+least {
+			out = m.follow.CallOff(e.ID, "the work is where the engine was", out)
+		}
+	}
+	return out
+}
