Roles shift on sockets: a driver between discovery and core; untold memory is not full

On the way the module was found to refuse nearly all where the settings do not tell the writers' memory: its own books were divided by one.

Change: internal/shift asks engines for their roles, feeds package roles and overlays what the list says; the core tells it of the traffic without waiting. Settings shift, becomes, capacity and what goes with them, checked as a whole. decide: books of untold memory count as empty.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -372,7 +372,10 @@
 			memory += s.memory
 		}
 	}
-	return answerGrowth * booked * float64(r.set.Routers) / max(memory, 1)
+	if memory <= 0 {
+		return 0 // the settings do not tell it
+	}
+	return answerGrowth * booked * float64(r.set.Routers) / memory
 }
 
 // read sends a request to a reader; without any, to a writer that reads by itself.
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -1068,3 +1068,17 @@
 		t.Errorf("%d servers are left, want the one writer whose attempt is out", len(w.r.order))
 	}
 }
+
+// Where the settings do not tell the writers' memory, the own books say nothing of how full they are.
+func TestUntoldMemoryIsNotFull(t *testing.T) {
+	set := settings()
+	set.Kinds[1].Memory = 0
+	w := newWorld(t, set, fleet())
+	for _, s := range []ServerID{11, 12, 13} {
+		w.do(Event{Kind: Probed, Server: s, Report: Report{MemoryShare: 0.1, WaitingK: -1, Latency: -1}})
+	}
+	w.read(safe) // one stream is booked
+	if _, acts := w.arrive(safe); find(acts, Refuse) != nil {
+		t.Error("a request was refused for writers of a memory that is not told")
+	}
+}
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -100,6 +100,27 @@
 	}
 }
 
+func TestShiftIsChecked(t *testing.T) {
+	head := "list x\nshift on\nclass a\n"
+	pair := "kind p\nrole prefill\nbecomes d\ncapacity 10k\nkind d\nrole decode\nbecomes p\ncapacity 1k\n"
+	if s, err := Parse("x", head+pair); err != nil || s.Kinds[0].Becomes != "d" || s.Shift.Horizon != 3*time.Minute {
+		t.Errorf("%v", err)
+	}
+	for text, want := range map[string]string{
+		head + "kind b\nrole both\n":                                "x:2: shift: no kind becomes another",
+		head + strings.Replace(pair, "becomes p", "becomes q", 1):   `found "q", expected the name of a kind`,
+		head + strings.Replace(pair, "becomes p\n", "", 1):          "kind d does not become p again",
+		head + strings.Replace(pair, "role decode", "role both", 1): "one of prefill and one of decode",
+		head + strings.Replace(pair, "capacity 1k", "", 1):          "kind d has no capacity",
+		"shift-away 4m\n" + head + pair:                             "x:1: shift-away: found 4m0s, expected less than shift-horizon",
+		"shift-look 9s\n" + head + pair:                             "x:1: shift-look: found 9s",
+	} {
+		if _, err := Parse("x", text); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%v, want %q", err, want)
+		}
+	}
+}
+
 func TestIncludes(t *testing.T) {
 	dir := t.TempDir()
 	write := func(name, text string) string {
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -22,6 +22,24 @@
 type Kind struct {
 	Name string
 	decide.Kind
+	Becomes  string  // the kind that an engine of this one is after a change of role; "" it can't change
+	Capacity float64 // tokens a second that it reads, or writes
+}
+
+// Shift is how roles of engines are shifted.
+type Shift struct {
+	Mode       string // off, dry or on
+	Every      time.Duration
+	Look       time.Duration
+	Horizon    time.Duration
+	Away       time.Duration
+	Confidence float64
+	AtOnce     int
+	Load       float64
+	Slot       time.Duration
+	Empty      time.Duration
+	Change     time.Duration
+	Rest       time.Duration
 }
 
 // Tenant is one tenant with its name.
@@ -87,6 +105,7 @@
 	// Fees of the module, in parts of the result.
 	ProbeFee float64
 
+	Shift   Shift
 	Classes []Class
 	Kinds   []Kind
 	Tenants []Tenant
@@ -296,6 +315,31 @@
 	{"router", "retry-after", "500ms", false, "longest time that clients are told to stay away; 0s: no advice",
 		into(Duration, func(t *target) *time.Duration { return &t.set.MaxRetryAfter })},
 
+	{"router", "shift", "off", false, "shift roles of engines that can do both: off, dry (only say what would be done) or on",
+		into(func(s string) (string, error) { return Choice(s, "off", "dry", "on") }, func(t *target) *string { return &t.set.Shift.Mode })},
+	{"router", "shift-every", "5s", false, "time between plans",
+		into(within(Duration, 10*time.Millisecond, time.Hour), func(t *target) *time.Duration { return &t.set.Shift.Every })},
+	{"router", "shift-look", "1s", false, "how often engines are asked for their role; at most a quarter of shift-slot",
+		into(within(Duration, time.Millisecond, time.Minute), func(t *target) *time.Duration { return &t.set.Shift.Look })},
+	{"router", "shift-horizon", "3m", false, "a change has to pay within this",
+		into(within(Duration, time.Second, 24*time.Hour), func(t *target) *time.Duration { return &t.set.Shift.Horizon })},
+	{"router", "shift-away", "30s", false, "work that a change costs, as time: emptying, changing, coldness",
+		into(Duration, func(t *target) *time.Duration { return &t.set.Shift.Away })},
+	{"router", "shift-confidence", "0.9", false, "with which a change has to pay",
+		into(within(Number, 0.5, 0.999), func(t *target) *float64 { return &t.set.Shift.Confidence })},
+	{"router", "shift-at-once", "2", false, "engines that may be away for a change at once, over all routers",
+		into(within(Count, 1, 10000), func(t *target) *int { return &t.set.Shift.AtOnce })},
+	{"router", "shift-load", "0.8", false, "part of its capacity to which a stage may be used and still answer in time",
+		into(within(Number, 0.05, 1), func(t *target) *float64 { return &t.set.Shift.Load })},
+	{"router", "shift-slot", "10s", false, "routers take turns in beginning changes, in slots of this length; the same at all",
+		into(within(Duration, 10*time.Millisecond, time.Hour), func(t *target) *time.Duration { return &t.set.Shift.Slot })},
+	{"router", "shift-empty", "30s", false, "time for an engine to become empty, before the change is taken back",
+		into(Duration, func(t *target) *time.Duration { return &t.set.Shift.Empty })},
+	{"router", "shift-change", "1m", false, "time for the change itself",
+		into(Duration, func(t *target) *time.Duration { return &t.set.Shift.Change })},
+	{"router", "shift-rest", "30s", false, "an engine whose change failed is left alone for this; longer with each failure",
+		into(Duration, func(t *target) *time.Duration { return &t.set.Shift.Rest })},
+
 	{"class", "aim", "1s", false, "first token wanted within this",
 		into(span, func(t *target) *decide.Duration { return &t.class.Aim })},
 	{"class", "aim-per-1000", "40ms", false, "and so much more for each thousand prompt tokens",
@@ -331,6 +375,11 @@
 	{"kind", "memory", "0", false, "tokens that fit into its memory; 0: not told",
 		into(Tokens, func(t *target) *float64 { return &t.kind.Memory })},
 
+	{"kind", "becomes", "", false, "kind that an engine of this one is after a change of role",
+		into(text, func(t *target) *string { return &t.kind.Becomes })},
+	{"kind", "capacity", "0", false, "tokens a second that it reads, or writes; for shifting roles",
+		into(Tokens, func(t *target) *float64 { return &t.kind.Capacity })},
+
 	{"tenant", "rate", "0/s", false, "requests a second within its share, over all routers; 0/s: not told",
 		into(Rate, func(t *target) *float64 { return &t.tenant.PerSecond })},
 }
@@ -470,6 +519,7 @@
 	if s.DefaultTenant != "" && s.TenantIndex(s.DefaultTenant) < 0 {
 		errs.Add(at("router/default-tenant"), "default-tenant: found %q, expected the name of a tenant", s.DefaultTenant)
 	}
+	errs = append(errs, s.checkShift(at)...)
 	for _, c := range s.Classes {
 		if c.Deadline < c.Aim {
 			errs.Add(at("class "+c.Name), "class %s: its deadline %v is under its aim %v", c.Name,
@@ -479,6 +529,42 @@
 	return errs
 }
 
+// checkShift looks at the kinds that become one another.
+func (s *Settings) checkShift(at func(string) *Line) (errs Errors) {
+	pairs := 0
+	for _, k := range s.Kinds {
+		if k.Becomes == "" {
+			continue
+		}
+		pairs++
+		l := at("kind " + k.Name + "/becomes")
+		i := s.KindIndex(k.Becomes)
+		switch {
+		case i < 0:
+			errs.Add(l, "becomes: found %q, expected the name of a kind", k.Becomes)
+		case s.Kinds[i].Becomes != k.Name:
+			errs.Add(l, "becomes: kind %s does not become %s again, expected 'becomes %s' there", k.Becomes, k.Name, k.Name)
+		case k.Role == decide.Both || s.Kinds[i].Role == decide.Both || k.Role == s.Kinds[i].Role:
+			errs.Add(l, "becomes: kinds %s and %s have to be one of prefill and one of decode", k.Name, k.Becomes)
+		}
+		if k.Capacity <= 0 && s.Shift.Mode != "off" {
+			errs.Add(l, "kind %s has no capacity, expected tokens a second, to plan by", k.Name)
+		}
+	}
+	if s.Shift.Mode != "off" {
+		if pairs == 0 {
+			errs.Add(at("router/shift"), "shift: no kind becomes another, expected 'becomes NAME' in two kinds")
+		}
+		if s.Shift.Away >= s.Shift.Horizon {
+			errs.Add(at("router/shift-away"), "shift-away: found %v, expected less than shift-horizon, %v", s.Shift.Away, s.Shift.Horizon)
+		}
+		if 4*s.Shift.Look > s.Shift.Slot {
+			errs.Add(at("router/shift-look"), "shift-look: found %v, expected at most a quarter of shift-slot, %v", s.Shift.Look, s.Shift.Slot)
+		}
+	}
+	return errs
+}
+
 func begin(s *Settings, t *target, section, name string) {
 	t.class, t.kind, t.tenant = nil, nil, nil
 	switch section {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -14,6 +14,7 @@
 	"mintdoor/internal/engine"
 	"mintdoor/internal/front/rest"
 	"mintdoor/internal/router"
+	"mintdoor/internal/shift"
 
 	"golang.org/x/sync/errgroup"
 )
@@ -51,9 +52,14 @@
 	d.engines = engine.New(engine.Options{DialTimeout: set.DialTimeout, ConnIdle: set.ConnIdle,
 		MaxConns: set.EngineConns, StreamIdle: set.StreamIdle, ReleaseWithin: set.ReleaseWithin,
 		ProbeWithin: set.ProbeWithin})
-	d.Router = router.New(router.Config{Name: set.Name, Model: set.Model, Settings: set.Decide(discovery.Number),
+	cfg := router.Config{Name: set.Name, Model: set.Model, Settings: set.Decide(discovery.Number),
 		Kinds: kinds, Engines: d.engines, Seed: seed, Log: log, MaxOpen: set.MaxOpen,
-		StreamParts: set.StreamParts, ClientStall: set.ClientStall, Settle: settle})
+		StreamParts: set.StreamParts, ClientStall: set.ClientStall, Settle: settle}
+	if set.Shift.Mode != "off" {
+		driver := shift.New(set, source, d.engines, set.Name, log)
+		d.source, cfg.Observe = driver, driver
+	}
+	d.Router = router.New(cfg)
 	d.front = rest.New(set, d.Router, log, Version)
 	return d, nil
 }
--- a/internal/router/loop.go
+++ b/internal/router/loop.go
@@ -169,6 +169,9 @@
 	f := r.table.add(q)
 	f.name = r.name + "." + formatID(uint64(f.id))
 	r.count.arrived.Add(1)
+	if r.cfg.Observe != nil {
+		r.cfg.Observe.Arrived(&q.job)
+	}
 	deadline := r.at(q.job.Deadline)
 	f.guard = r.timers.add(&entry{at: deadline + r.cfg.Settings.AnswerGrace/2, flight: f})
 	j := &q.job
@@ -189,6 +192,13 @@
 	r.timers.remove(a.limit)
 	r.timers.remove(a.renewal)
 	f.end(a, res)
+	if o := r.cfg.Observe; o != nil {
+		if res.Outcome == decide.ReadDone {
+			o.Read(&f.q.job, res.Kept)
+		} else if a.streaming {
+			o.Written(&f.q.job, res.Tokens, res.Outcome == decide.Served)
+		}
+	}
 	if a.streaming {
 		r.endStream(f, a, res)
 	} else if res.Outcome == decide.Served { // an answer without a token
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -40,6 +40,13 @@
 	Forget(addr string)
 }
 
+// Observer is told what is asked and what it takes. It is called from the loop and must not block.
+type Observer interface {
+	Arrived(j *Job)
+	Read(j *Job, kept float64)              // a prompt was read; kept tokens of it were found
+	Written(j *Job, tokens int, whole bool) // an answer has ended; not whole: it was cut off
+}
+
 // Config is what a Router is made of.
 type Config struct {
 	Name     string // in ids towards engines; with the start time it tells routers and restarts apart
@@ -52,6 +59,8 @@
 
 	// NewDecider makes the module; nil: decide.New.
 	NewDecider func(set *decide.Settings, seed uint64, now decide.Time) Decider
+	// Observe is told of the traffic; nil: nobody.
+	Observe Observer
 	// Watch is told when the module asks for the list; nil: the source tells by itself.
 	Watch func()
 
--- /dev/null
+++ b/internal/shift/shift.go
@@ -0,0 +1,366 @@
+// Package shift carries out the shifting of roles: it stands between discovery and the router's core, asks
+// engines for their roles, tells the decisions in package roles what happens, and carries out what they
+// decide. Towards the core it is a source of lists like any other: an engine on its way is listed as
+// draining, one that has changed as of its new kind and just started.
+package shift
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"mintdoor/decide"
+	"mintdoor/internal/config"
+	"mintdoor/internal/discovery"
+	"mintdoor/internal/engine"
+	"mintdoor/internal/router"
+	"mintdoor/roles"
+
+	"golang.org/x/sync/errgroup"
+)
+
+// Engines is what the driver asks of engines; *engine.Client does it.
+type Engines interface {
+	Role(ctx context.Context, addr string) (engine.Role, error)
+	ChangeRole(ctx context.Context, addr string, q *engine.RoleChange) (engine.Role, bool, error)
+	StayRole(ctx context.Context, addr string, q *engine.RoleStay) (engine.Role, bool, error)
+}
+
+// Driver shifts roles. It is a discovery.Source over another one, and a router.Observer.
+type Driver struct {
+	set     *config.Settings
+	source  discovery.Source
+	engines Engines
+	name    string
+	log     *slog.Logger
+
+	seen    chan observation
+	missed  atomic.Int64 // observations that did not fit
+	results chan result
+	report  atomic.Pointer[roles.Report]
+
+	// What follows belongs to Run's loop.
+	manager *roles.Manager
+	base    []discovery.Engine
+	byID    map[uint64]*discovery.Engine
+	views   map[uint64]roles.View
+	asking  map[uint64]bool // a question about its role is out
+	work    sync.WaitGroup
+}
+
+// observation is one thing seen of the traffic.
+type observation struct {
+	kind    uint8
+	at      time.Time
+	arrival roles.Arrival
+}
+
+const (
+	sawArrival uint8 = iota
+	sawRead
+	sawWritten
+)
+
+// result is an engine's word.
+type result struct {
+	id      uint64
+	asked   bool // an answer to a change that was asked for
+	granted bool
+	role    engine.Role
+	err     error
+}
+
+// Bounds of the driver.
+const (
+	maxObservations = 8192
+	tickEvery       = 100 * time.Millisecond
+)
+
+// New returns a driver for the settings, which have shifting on or dry.
+func New(set *config.Settings, source discovery.Source, engines Engines, name string, log *slog.Logger) *Driver {
+	s := &set.Shift
+	return &Driver{set: set, source: source, engines: engines, name: name, log: log,
+		seen: make(chan observation, maxObservations), results: make(chan result, 64),
+		byID: map[uint64]*discovery.Engine{}, views: map[uint64]roles.View{}, asking: map[uint64]bool{},
+		manager: roles.NewManager(roles.Config{Classes: len(set.Classes), Confidence: s.Confidence, Every: s.Every, ColdFor: set.ColdFor,
+			Limits: roles.Limits{Ask: 2 * set.ProbeWithin, Empty: s.Empty, Change: s.Change, Rest: s.Rest},
+			Costs:  roles.Costs{Horizon: s.Horizon, Away: s.Away, Load: s.Load, Changes: s.AtOnce, Least: [2]int{1, 1}},
+			Turn:   roles.Turn{Routers: set.Routers, Index: set.Index, Slot: s.Slot}, Dry: s.Mode == "dry"}, time.Now())}
+}
+
+// Arrived, Read and Written are the router.Observer. They never block: what does not fit is counted.
+func (d *Driver) Arrived(j *router.Job) {
+	d.observe(observation{kind: sawArrival, arrival: roles.Arrival{Class: j.Class, Prompt: j.PromptTokens, Retry: j.Repeat}})
+}
+
+// Read implements router.Observer.
+func (d *Driver) Read(j *router.Job, kept float64) {
+	d.observe(observation{kind: sawRead, arrival: roles.Arrival{Class: j.Class, Prompt: j.PromptTokens, Kept: kept}})
+}
+
+// Written implements router.Observer.
+func (d *Driver) Written(j *router.Job, tokens int, whole bool) {
+	d.observe(observation{kind: sawWritten, arrival: roles.Arrival{Class: j.Class, Answer: float64(tokens), Cut: !whole}})
+}
+
+func (d *Driver) observe(o observation) {
+	o.at = time.Now()
+	select {
+	case d.seen <- o:
+	default:
+		d.missed.Add(1)
+	}
+}
+
+// Report returns the last plan as it was judged, or nil.
+func (d *Driver) Report() *roles.Report { return d.report.Load() }
+
+// Run implements discovery.Source.
+func (d *Driver) Run(ctx context.Context, tell func(discovery.Update)) error {
+	g, ctx := errgroup.WithContext(ctx)
+	updates := make(chan discovery.Update)
+	g.Go(func() error {
+		return d.source.Run(ctx, func(u discovery.Update) {
+			select {
+			case updates <- u:
+			case <-ctx.Done():
+			}
+		})
+	})
+	g.Go(func() error {
+		defer d.work.Wait()
+		d.loop(ctx, updates, tell)
+		return nil
+	})
+	return g.Wait()
+}
+
+func (d *Driver) loop(ctx context.Context, updates <-chan discovery.Update, tell func(discovery.Update)) {
+	tick, look := time.NewTicker(tickEvery), time.NewTicker(d.set.Shift.Look)
+	defer tick.Stop()
+	defer look.Stop()
+	for {
+		var acts []roles.Action
+		changed := false
+		now := time.Now()
+		select {
+		case <-ctx.Done():
+			return
+		case u := <-updates:
+			if u.Err != nil {
+				tell(u)
+				continue
+			}
+			d.listed(ctx, u.Engines)
+			changed = true
+		case o := <-d.seen:
+			d.take(&o)
+			continue
+		case r := <-d.results:
+			acts = d.answered(now, &r)
+		case <-look.C:
+			for id, e := range d.byID {
+				d.ask(ctx, id, e.Addr, nil)
+			}
+		case <-tick.C:
+			acts = d.manager.Tick(now, nil)
+			d.tellPlan()
+		}
+		for i := range acts {
+			changed = d.carry(ctx, &acts[i]) || changed
+		}
+		for _, e := range d.manager.Ended() {
+			level := slog.LevelInfo
+			if !e.Done {
+				level = slog.LevelWarn
+			}
+			d.log.Log(ctx, level, "change of role ended", "engine", d.nameOf(e.Engine), "to", stageName(e.To), "done", e.Done, "why", e.Why, "took", e.Took)
+		}
+		if changed {
+			tell(discovery.Update{Engines: d.overlay(), At: now})
+		}
+	}
+}
+
+func (d *Driver) take(o *observation) {
+	switch o.kind {
+	case sawArrival:
+		d.manager.Arrived(o.at, o.arrival)
+	case sawRead:
+		d.manager.Read(o.arrival)
+	case sawWritten:
+		d.manager.Written(o.arrival)
+	}
+}
+
+// listed takes in a list of the source.
+func (d *Driver) listed(ctx context.Context, list []discovery.Engine) {
+	d.base = list
+	clear(d.byID)
+	var infos []roles.Info
+	for i := range d.base {
+		e := &d.base[i]
+		k := d.set.KindIndex(e.Kind)
+		if k < 0 || d.set.Kinds[k].Becomes == "" {
+			continue
+		}
+		id := uint64(e.ID())
+		d.byID[id] = e
+		kind, other := &d.set.Kinds[k], &d.set.Kinds[d.set.KindIndex(d.set.Kinds[k].Becomes)]
+		info := roles.Info{ID: id, Kind: min(k, d.set.KindIndex(other.Name)), Cell: discovery.Number(e.Cell), Draining: e.State != decide.Ready}
+		info.Cap[stageOf(kind)], info.Cap[stageOf(other)] = kind.Capacity, other.Capacity
+		infos = append(infos, info)
+	}
+	d.manager.Listed(time.Now(), infos)
+	for id := range d.views {
+		if d.byID[id] == nil {
+			delete(d.views, id)
+		}
+	}
+	for id, e := range d.byID {
+		d.ask(ctx, id, e.Addr, nil)
+	}
+}
+
+func stageOf(k *config.Kind) roles.Stage {
+	if k.Role == decide.Reader {
+		return roles.Prefill
+	}
+	return roles.Decode
+}
+
+func stageName(s roles.Stage) string {
+	if s == roles.Prefill {
+		return engine.StagePrefill
+	}
+	return engine.StageDecode
+}
+
+// ask asks an engine for its role, or for a change of it. One question about a role is out at a time.
+func (d *Driver) ask(ctx context.Context, id uint64, addr string, change *engine.RoleChange) {
+	if change == nil {
+		if d.asking[id] {
+			return
+		}
+		d.asking[id] = true
+	}
+	d.work.Add(1)
+	go func() {
+		defer d.work.Done()
+		r := result{id: id, asked: change != nil}
+		if change != nil {
+			r.role, r.granted, r.err = d.engines.ChangeRole(ctx, addr, change)
+		} else {
+			r.role, r.err = d.engines.Role(ctx, addr)
+		}
+		select {
+		case d.results <- r:
+		case <-ctx.Done():
+		}
+	}()
+}
+
+func (d *Driver) answered(now time.Time, r *result) []roles.Action {
+	if !r.asked {
+		delete(d.asking, r.id)
+	}
+	if r.err != nil || d.byID[r.id] == nil {
+		return nil // no word: the deadlines see to it
+	}
+	s, ok := standing(&r.role)
+	if !ok {
+		return nil
+	}
+	if r.asked {
+		return d.manager.Answered(now, r.id, r.granted, s, nil)
+	}
+	return d.manager.Standing(now, r.id, s, nil)
+}
+
+// standing turns an engine's word into the decisions' terms.
+func standing(r *engine.Role) (roles.Standing, bool) {
+	stages := map[string]roles.Stage{engine.StagePrefill: roles.Prefill, engine.StageDecode: roles.Decode}
+	phases := map[string]roles.Phase{engine.PhaseSteady: roles.Steady, engine.PhaseEmptying: roles.Emptying, engine.PhaseChanging: roles.Changing}
+	role, ok := stages[r.Role]
+	phase, known := phases[r.Phase]
+	return roles.Standing{Role: role, Epoch: roles.Epoch(r.Epoch), To: stages[r.To], Phase: phase, Starts: r.Since}, ok && known
+}
+
+// carry carries out an action and tells whether the list has changed.
+func (d *Driver) carry(ctx context.Context, a *roles.Action) bool {
+	e := d.byID[a.Engine]
+	if e == nil {
+		return false
+	}
+	switch a.Kind {
+	case roles.List:
+		d.views[a.Engine] = a.View
+		return true
+	case roles.Ask:
+		d.log.Info("change of role asked for", "engine", e.Name, "to", stageName(a.To), "epoch", a.Epoch)
+		d.ask(ctx, a.Engine, e.Addr, &engine.RoleChange{To: stageName(a.To), Epoch: uint64(a.Epoch), Router: d.name})
+	case roles.CallBack:
+		d.log.Info("change of role called back", "engine", e.Name, "why", a.Why)
+		addr, epoch := e.Addr, uint64(a.Epoch)
+		d.work.Add(1)
+		go func() {
+			defer d.work.Done()
+			// What comes of it is seen at the next look.
+			if _, _, err := d.engines.StayRole(ctx, addr, &engine.RoleStay{Epoch: epoch}); err != nil {
+				d.log.Warn("call back failed", "engine", addr, "err", err)
+			}
+		}()
+	}
+	return false
+}
+
+// overlay is the source's list with the engines' own words on their roles.
+func (d *Driver) overlay() []discovery.Engine {
+	out := make([]discovery.Engine, len(d.base))
+	copy(out, d.base)
+	for i := range out {
+		e := &out[i]
+		v, ok := d.views[uint64(e.ID())]
+		if !ok {
+			continue
+		}
+		kind := &d.set.Kinds[d.set.KindIndex(e.Kind)]
+		if stageOf(kind) != v.Role {
+			e.Kind = kind.Becomes // the list shows the old role for a while
+		}
+		if v.Draining {
+			e.State = decide.Draining
+		}
+		if v.Since.After(e.Since) {
+			e.Since = v.Since
+		}
+	}
+	return out
+}
+
+// tellPlan logs a plan that would move something, once.
+func (d *Driver) tellPlan() {
+	r := d.manager.Last()
+	if last := d.report.Load(); last != nil && last.At.Equal(r.At) {
+		return
+	}
+	d.report.Store(&r)
+	if r.Err != nil {
+		d.log.Error("plan of roles", "err", r.Err)
+	}
+	if len(r.Plan.Moves) == 0 {
+		return
+	}
+	d.log.Info("plan of roles", "read/s", int(r.Demand[roles.Prefill].Mean), "write/s", int(r.Demand[roles.Decode].Mean), "moves", len(r.Plan.Moves),
+		"served", r.Plan.Now, "then", r.Plan.Then, "confidence", r.Verdict.Confidence, "why", r.Verdict.Why, "begun", r.Begun,
+		"dry", d.set.Shift.Mode == "dry", "unseen", d.missed.Load())
+}
+
+func (d *Driver) nameOf(id uint64) string {
+	if e := d.byID[id]; e != nil {
+		return e.Name
+	}
+	return "gone"
+}
