--- a/cmd/mintdoor/main_test.go
+++ b/cmd/mintdoor/main_test.go
@@ -12,6 +12,8 @@
 
 	"mintdoor/internal/audit"
 	"mintdoor/internal/day"
+	"mintdoor/internal/shift"
+	"mintdoor/roles"
 )
 
 // The test binary is the program itself when it is asked to be, so that days can start routers.
@@ -163,3 +165,19 @@
 		t.Errorf("%v", err)
 	}
 }
+
+func TestPrintRoles(t *testing.T) {
+	var b strings.Builder
+	st := &shift.Status{Mode: "dry", Engines: []shift.EngineStatus{{Name: "p1", Status: roles.Status{Engine: 7, Known: true, Step: "idle",
+		Now: roles.Standing{Role: roles.Prefill, Epoch: 3}}}, {Name: "d1", Status: roles.Status{Engine: 8, Step: "idle", WhyNot: "it is cold"}}}}
+	st.Plan.Plan.Moves = []roles.Move{{Engine: 7, To: roles.Decode}}
+	st.Plan.Verdict.Why = "it earns back its cost"
+	if err := printRoles(&b, st); err != nil {
+		t.Fatal(err)
+	}
+	for _, want := range []string{"shift dry", "with 1 changes", "it earns back its cost", "p1      prefill  3      idle  decode", "d1      ?        0      idle           it is cold"} {
+		if !strings.Contains(b.String(), want) {
+			t.Errorf("%q is missing:\n%s", want, b.String())
+		}
+	}
+}
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -53,6 +53,7 @@
 	// The router itself.
 	Name         string
 	Listen       string
+	Control      string
 	Model        string
 	ModelVersion string
 	Routers      int
@@ -218,6 +219,13 @@
 		into(text, func(t *target) *string { return &t.set.Name })},
 	{"router", "listen", "127.0.0.1:8080", false, "address of the KServe V2 front",
 		into(Address, func(t *target) *string { return &t.set.Listen })},
+	{"router", "control", "", false, "address for 'mintdoor roles' and the like, on loopback; empty: none",
+		into(func(s string) (string, error) {
+			if s == "" {
+				return "", nil
+			}
+			return Address(s)
+		}, func(t *target) *string { return &t.set.Control })},
 	{"router", "model", "helpline", false, "name of the model that is served",
 		into(text, func(t *target) *string { return &t.set.Model })},
 	{"router", "model-version", "1", false, "its version",
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -31,7 +31,9 @@
 	source   discovery.Source
 	engines  *engine.Client
 	front    *rest.Front
+	shift    *shift.Driver // nil: roles stay as they are
 	listener net.Listener
+	control  net.Listener // nil: none
 	drain    chan struct{}
 }
 
@@ -57,9 +59,15 @@
 		StreamParts: set.StreamParts, ClientStall: set.ClientStall, Settle: settle}
 	if set.Shift.Mode != "off" {
 		driver := shift.New(set, source, d.engines, set.Name, log)
-		d.source, cfg.Observe = driver, driver
+		d.shift, d.source, cfg.Observe = driver, driver, driver
 	}
 	d.Router = router.New(cfg)
+	if set.Control != "" {
+		if d.control, err = net.Listen("tcp", set.Control); err != nil {
+			listener.Close()
+			return nil, fmt.Errorf("control: %w", err)
+		}
+	}
 	d.front = rest.New(set, d.Router, log, Version)
 	return d, nil
 }
@@ -95,6 +103,9 @@
 		// Answers that the router gives at its end still have to reach their clients.
 		return d.front.Serve(serving, d.listener, d.set.DrainLimit+settle)
 	})
+	if d.control != nil {
+		g.Go(func() error { return d.serveControl(ctx) })
+	}
 	g.Go(func() error {
 		select {
 		case <-ctx.Done():
--- a/internal/e2e/shift_test.go
+++ b/internal/e2e/shift_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"sync"
 	"testing"
 	"time"
 
 	"mintdoor/internal/engine"
+	"mintdoor/internal/shift"
 	standin "mintdoor/internal/standin/engine"
 	"mintdoor/internal/standin/fleet"
 )
@@ -16,6 +18,7 @@
 list engines.list
 list-every 5ms
 listen 127.0.0.1:0
+control 127.0.0.1:0
 cold-for 600ms
 drain-grace 200ms
 shift on
@@ -104,6 +107,16 @@
 	if wrong := end(); len(wrong) > 0 {
 		t.Errorf("%d answers were no success: %q", len(wrong), wrong[:min(len(wrong), 5)])
 	}
+	resp, err := w.client.Get("http://" + w.daemon.ControlAddr() + "/roles")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var st shift.Status
+	err = json.NewDecoder(resp.Body).Decode(&st)
+	resp.Body.Close()
+	if err != nil || len(st.Engines) != 6 || !st.Engines[0].Known || st.Plan.At.IsZero() {
+		t.Errorf("%v, %+v", err, st)
+	}
 	w.settled()
 	w.kept()
 }
--- a/internal/shift/shift.go
+++ b/internal/shift/shift.go
@@ -40,6 +40,7 @@
 	missed  atomic.Int64 // observations that did not fit
 	results chan result
 	report  atomic.Pointer[roles.Report]
+	status  atomic.Pointer[Status]
 
 	// What follows belongs to Run's loop.
 	manager *roles.Manager
@@ -114,8 +115,31 @@
 	}
 }
 
-// Report returns the last plan as it was judged, or nil.
-func (d *Driver) Report() *roles.Report { return d.report.Load() }
+// Status is the state of shifting, for people.
+type Status struct {
+	At      time.Time
+	Mode    string
+	Plan    roles.Report
+	Engines []EngineStatus
+	Unseen  int64 // observations of the traffic that did not fit
+}
+
+// EngineStatus is one engine that can change.
+type EngineStatus struct {
+	Name string
+	roles.Status
+}
+
+// Status returns the state as of the last tick, or nil before the first.
+func (d *Driver) Status() *Status { return d.status.Load() }
+
+func (d *Driver) keepStatus(now time.Time) {
+	st := &Status{At: now, Mode: d.set.Shift.Mode, Plan: d.manager.Last(), Unseen: d.missed.Load()}
+	for _, e := range d.manager.Status(now) {
+		st.Engines = append(st.Engines, EngineStatus{d.nameOf(e.Engine), e})
+	}
+	d.status.Store(st)
+}
 
 // Run implements discovery.Source.
 func (d *Driver) Run(ctx context.Context, tell func(discovery.Update)) error {
@@ -167,6 +191,7 @@
 		case <-tick.C:
 			acts = d.manager.Tick(now, nil)
 			d.tellPlan()
+			d.keepStatus(now)
 		}
 		for i := range acts {
 			changed = d.carry(ctx, &acts[i]) || changed
--- a/roles/manager.go
+++ b/roles/manager.go
@@ -212,3 +212,39 @@
 	}
 	return out
 }
+
+// Status is one engine as a Manager sees it, for people.
+type Status struct {
+	Engine uint64
+	Known  bool // it has said what it does
+	Now    Standing
+	Step   string // of a change that is followed: idle, asking, emptying, changing, resting
+	Since  time.Time
+	WhyNot string // why it would not be changed now; "" it could be
+}
+
+// Status returns all engines, by number.
+func (m *Manager) Status(now time.Time) []Status {
+	out := make([]Status, 0, len(m.infos))
+	for _, id := range slices.Sorted(maps.Keys(m.infos)) {
+		st := Status{Engine: id, Step: idle.String()}
+		c := m.follow.list[id]
+		if c != nil && c.known {
+			st.Known, st.Now, st.Step, st.Since = true, c.now, c.step.String(), c.began
+		}
+		switch {
+		case !st.Known:
+			st.WhyNot = "it has not said what it does"
+		case c.step == resting:
+			st.WhyNot = "a change of it failed; it rests until " + c.by.UTC().Format(time.TimeOnly)
+		case c.step != idle || c.now.Phase != Steady:
+			st.WhyNot = "it is on its way"
+		case m.infos[id].Draining:
+			st.WhyNot = "it is draining"
+		case !c.now.Starts.IsZero() && now.Sub(c.now.Starts) < m.cfg.ColdFor:
+			st.WhyNot = "it is cold"
+		}
+		out = append(out, st)
+	}
+	return out
+}
