--- a/roles/demand_test.go
+++ b/roles/demand_test.go
@@ -124,3 +124,13 @@
 		t.Errorf("an hour after the last arrival: %+v", w)
 	}
 }
+
+// A short horizon holds few arrivals, so chance alone widens its forecast.
+func TestShortHorizonIsLessSure(t *testing.T) {
+	d := NewDemand(1)
+	now := feed(d, source(7), 0, 5*time.Minute, 10, 0, 800, 100)
+	short, long := d.Forecast(now, time.Second), d.Forecast(now, 5*time.Minute)
+	if short[Decode].SD < 1.5*long[Decode].SD {
+		t.Errorf("%+v over a second, %+v over five minutes", short[Decode], long[Decode])
+	}
+}
--- a/roles/manager_test.go
+++ b/roles/manager_test.go
@@ -272,3 +272,15 @@
 		t.Error("a router alone waits for its turn")
 	}
 }
+
+// An engine that is still cold is not changed again, however great the need.
+func TestColdEnginesStay(t *testing.T) {
+	s := newSite(t, 1, 6, 6, func(c *Config) { c.ColdFor = time.Hour })
+	for _, e := range s.engines {
+		e.s.Starts = s.now
+	}
+	s.run(15*time.Minute, 40, 1800, 40)
+	if s.begun != 0 {
+		t.Errorf("%d cold engines were changed", s.begun)
+	}
+}
