--- /dev/null
+++ b/internal/engine/chat/chat.go
@@ -0,0 +1,458 @@
+// Package chat is the client of engines that speak the platform's protocol: the client's own request passed
+// on unchanged, first to an engine that reads it, then to one that streams the answer's events; what is held
+// for it stands under its id. It tells truly how an attempt ended: only what the engine said, or what was
+// never written, counts as never run. It sends nothing twice and decides nothing.
+package chat
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"strconv"
+	"sync"
+	"time"
+
+	"mintdoor/decide"
+	"mintdoor/internal/engine"
+	"mintdoor/internal/http1"
+	"mintdoor/internal/settings"
+)
+
+// The protocol's paths and headers.
+const (
+	HoldsPath = "/v1/holds/"
+	LoadPath  = "/metrics/load"
+
+	IDHeader     = "X-Correlation-Id"
+	LeftHeader   = "X-Time-Left-Ms"
+	UnrunHeader  = "X-Unprocessed" // 1: nothing of the request has run
+	LoadHeader   = "X-Backend-Load"
+	eventsType   = "text/event-stream"
+	loadComment  = ": " + LoadHeader + ":"
+	doneSentinel = "[DONE]"
+)
+
+// Bounds of what an engine may send.
+const (
+	readBuffer  = 4096
+	maxHead     = 16 << 10
+	maxBody     = 64 << 10 // of an answer that is no stream
+	maxChunk    = 64 << 10
+	maxEvent    = 64 << 10
+	maxInterim  = 8                      // 1xx answers in front of one
+	partWithin  = 2 * time.Second        // for the rest of a chunk that has begun
+	firstTry    = 150 * time.Millisecond // of a call that must be heard, at one engine
+	readEnds    = 30 * time.Millisecond  // a read that was given up ends within this time, or has ended well
+	expireEvery = time.Second
+)
+
+// Options bound what the client does.
+type Options struct {
+	DialTimeout   time.Duration
+	ConnIdle      time.Duration // idle connections are closed after this
+	MaxConns      int           // to all engines
+	SpareConns    int           // more for releases
+	StreamIdle    time.Duration // without an event for so long a stream has broken
+	ReleaseWithin time.Duration
+	ProbeWithin   time.Duration
+}
+
+// Client speaks to all engines; a router.Engines. It is safe for concurrent use.
+type Client struct {
+	opts Options
+	pool *pool
+
+	mu    sync.Mutex
+	heard map[string]time.Time // when an engine answered last
+}
+
+// New returns a client. Run looks after its idle connections.
+func New(opts Options) *Client {
+	return &Client{opts: opts, heard: map[string]time.Time{}, pool: &pool{dialTimeout: opts.DialTimeout,
+		keep: opts.ConnIdle, most: opts.MaxConns, spare: opts.SpareConns}}
+}
+
+// Run closes idle connections before their engines do, until ctx ends; then all.
+func (c *Client) Run(ctx context.Context) error {
+	t := time.NewTicker(expireEvery)
+	defer t.Stop()
+	defer c.pool.forget("")
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-t.C:
+			c.pool.expire()
+		}
+	}
+}
+
+// Close closes idle connections.
+func (c *Client) Close() { c.pool.forget("") }
+
+// Forget drops what is kept for an engine that is gone, or whose process is another now.
+func (c *Client) Forget(addr string) {
+	c.mu.Lock()
+	delete(c.heard, addr)
+	c.mu.Unlock()
+	c.pool.forget(addr)
+}
+
+// exchange is one request and its answer. done gives the connection back or closes it.
+type exchange struct {
+	client  *Client
+	ctx     context.Context
+	conn    *conn
+	stop    func() bool // of the watch over ctx
+	written bool        // to the last byte
+	head    *http1.Head
+	status  int
+	interim bool // 1xx answers came in front
+	whole   bool // the answer was read to its end, and nothing more is expected
+}
+
+// call is what is written.
+type call struct {
+	method, target, id string
+	body               []byte
+	until              time.Time // zero: nothing is said of the time
+	urgent             bool
+}
+
+// start writes a request and reads the head of its answer.
+func (c *Client) start(ctx context.Context, addr string, q *call) (*exchange, error) {
+	x := &exchange{client: c, ctx: ctx, stop: func() bool { return true }}
+	var err error
+	if x.conn, err = c.pool.get(ctx, addr, q.urgent); err != nil {
+		var late net.Error
+		if errors.As(err, &late) && late.Timeout() {
+			c.pool.forget(addr) // they are as silent, if the machine has vanished
+		}
+		return x, err
+	}
+	// Closing is how the protocol gives an attempt up.
+	x.stop = context.AfterFunc(ctx, func() { x.conn.Close() })
+	head := make([]byte, 0, 256)
+	head = append(head, q.method+" "+q.target+" HTTP/1.1\r\nHost: "+addr+"\r\n"...)
+	if q.id != "" {
+		head = append(head, IDHeader+": "+q.id+"\r\n"...)
+	}
+	if !q.until.IsZero() {
+		left := max(time.Until(q.until).Milliseconds(), 1)
+		head = append(head, LeftHeader+": "+strconv.FormatInt(left, 10)+"\r\n"...)
+	}
+	if q.body != nil {
+		head = append(head, "Content-Type: application/json\r\nContent-Length: "+strconv.Itoa(len(q.body))+"\r\n"...)
+	}
+	head = append(head, "\r\n"...)
+	size := int64(len(head) + len(q.body))
+	n, err := (&net.Buffers{head, q.body}).WriteTo(x.conn.Conn)
+	if x.written = n == size; !x.written {
+		return x, fmt.Errorf("write: %w", err)
+	}
+	for n := 0; ; n++ {
+		if x.head, err = http1.ReadHead(x.conn.br, maxHead); err != nil {
+			return x, fmt.Errorf("head: %w", err)
+		}
+		if x.status, err = x.head.Status(); err != nil {
+			return x, err
+		}
+		if x.status >= 200 {
+			break
+		}
+		if x.interim = true; n == maxInterim {
+			return x, fmt.Errorf("%w: more than %d interim answers", http1.ErrMalformed, maxInterim)
+		}
+	}
+	c.mu.Lock()
+	c.heard[addr] = time.Now()
+	c.mu.Unlock()
+	return x, nil
+}
+
+// done gives the connection back if the answer has left it clean.
+func (x *exchange) done() {
+	if x.conn == nil {
+		return
+	}
+	if x.stop() && x.whole && !x.interim && !x.head.Closes() && x.conn.br.Buffered() == 0 {
+		x.client.pool.put(x.conn)
+		return
+	}
+	x.conn.Close()
+}
+
+// body reads an answer's body that is no stream.
+func (x *exchange) body() ([]byte, error) {
+	length, chunked, err := x.head.Framing()
+	switch {
+	case err != nil:
+		return nil, err
+	case x.status == 204:
+		x.whole = true
+		return nil, nil
+	case length > maxBody:
+		return nil, fmt.Errorf("%w: body of %d bytes", http1.ErrTooLarge, length)
+	case chunked:
+		b, err := io.ReadAll(io.LimitReader(http1.NewChunks(x.conn.br, maxChunk), maxBody+1))
+		if err == nil && len(b) > maxBody {
+			err = fmt.Errorf("%w: body", http1.ErrTooLarge)
+		}
+		x.whole = err == nil
+		return b, err
+	case length == http1.Untold: // to the connection's end
+		return io.ReadAll(io.LimitReader(x.conn.br, maxBody))
+	}
+	b := make([]byte, length)
+	_, err = io.ReadFull(x.conn.br, b)
+	x.whole = err == nil
+	return b, err
+}
+
+// failed tells how an exchange with an error ended. What was not written to its last byte never ran.
+func (x *exchange) failed(err error) engine.Result {
+	r := engine.Result{Report: engine.Untold(), Err: err}
+	cause := context.Cause(x.ctx)
+	switch {
+	case errors.Is(cause, engine.ErrCancelled), errors.Is(cause, context.Canceled):
+		r.Outcome = decide.Cancelled
+	case !x.written:
+		r.Outcome = decide.ConnectFailed
+	case errors.Is(cause, engine.ErrTimedOut):
+		r.Outcome = decide.TimedOut
+	default:
+		r.Outcome = decide.Reset
+	}
+	return r
+}
+
+// refused takes an answer that is neither a finished read nor a stream. Only X-Unprocessed proves that
+// nothing ran.
+func (x *exchange) refused() engine.Result {
+	r := engine.Result{Outcome: decide.Error, Report: x.report()}
+	text, _ := x.body()
+	if v, _ := x.head.Get(UnrunHeader); v == "1" {
+		switch x.status {
+		case 503, 504:
+			r.Outcome = decide.Full
+		case 410:
+			r.Outcome, r.NoState = decide.Full, true
+		}
+	}
+	r.Err = fmt.Errorf("status %d: %.200q", x.status, text)
+	return r
+}
+
+func (x *exchange) report() decide.Report {
+	v, _ := x.head.Get(LoadHeader)
+	return parseLoad([]byte(v))
+}
+
+// parseLoad reads a load report; one that can't be read tells nothing.
+func parseLoad(b []byte) decide.Report {
+	var v map[string]any
+	if json.Unmarshal(b, &v) != nil {
+		return engine.Untold()
+	}
+	return settings.Report(func(name string) (float64, bool) {
+		f, ok := v[name].(float64)
+		return f, ok
+	})
+}
+
+// attempt starts an attempt of a request.
+func (c *Client) attempt(ctx context.Context, addr string, q *engine.Call) (*exchange, error) {
+	return c.start(ctx, addr, &call{method: "POST", target: q.Message.Target, id: q.Params.Request,
+		body: q.Message.Body, until: q.Until})
+}
+
+// Prefill has a prompt read and returns when the state waits, or the attempt has failed.
+func (c *Client) Prefill(ctx context.Context, addr string, q *engine.Call) engine.Result {
+	x, err := c.attempt(ctx, addr, q)
+	defer x.done()
+	if err != nil {
+		return x.failed(err)
+	}
+	if x.status != 202 {
+		return x.refused()
+	}
+	b, err := x.body()
+	if err != nil {
+		return x.failed(err)
+	}
+	var v struct {
+		Cached float64 `json:"cached_tokens"`
+	}
+	if err := json.Unmarshal(b, &v); err != nil || v.Cached < 0 {
+		return x.failed(fmt.Errorf("%w: no account of the read: %.60q", http1.ErrMalformed, b))
+	}
+	return engine.Result{Outcome: decide.ReadDone, Kept: v.Cached, Report: x.report(),
+		State: &engine.State{Addr: addr, Handle: q.Params.Request, Tokens: q.Params.PromptTokens}}
+}
+
+// Decode has the answer written and hands each event to sink, unchanged. An error of sink ends the attempt as
+// cancelled.
+func (c *Client) Decode(ctx context.Context, addr string, q *engine.Call, sink func(event string) error) engine.Result {
+	x, err := c.attempt(ctx, addr, q)
+	defer x.done()
+	if err != nil {
+		return x.failed(err)
+	}
+	if x.status != 200 {
+		return x.refused()
+	}
+	return x.stream(sink)
+}
+
+func (x *exchange) stream(sink func(event string) error) engine.Result {
+	_, chunked, err := x.head.Framing()
+	if err == nil && !chunked {
+		err = fmt.Errorf("%w: a stream that is not in chunks has no end to be known by", http1.ErrMalformed)
+	}
+	if v, _ := x.head.Get("Content-Type"); err == nil && !isEvents(v) {
+		err = fmt.Errorf("%w: Content-Type %.40q", http1.ErrMalformed, v)
+	}
+	if err != nil {
+		return x.failed(err)
+	}
+	e := events{x: x, chunks: http1.NewChunks(x.conn.br, maxChunk), report: x.report()}
+	tokens := 0
+	for {
+		event, err := e.next()
+		switch {
+		case errors.Is(err, io.EOF) && tokens == 0:
+			return x.failed(fmt.Errorf("%w: a stream without an event", http1.ErrMalformed))
+		case errors.Is(err, io.EOF):
+			x.whole = true
+			x.conn.SetReadDeadline(time.Time{})
+			return engine.Result{Outcome: decide.Served, Report: e.report, Tokens: tokens}
+		case err != nil:
+			r := x.failed(err)
+			r.Tokens, r.Report = tokens, e.report
+			return r
+		}
+		if err := sink(event); err != nil {
+			r := x.failed(err)
+			if r.Outcome != decide.TimedOut {
+				r.Outcome = decide.Cancelled
+			}
+			r.Tokens, r.Report = tokens, e.report
+			return r
+		}
+		tokens++
+	}
+}
+
+// Release lets go of all that is held for a request. Any engine that runs takes the call for all of them, so
+// it is tried at others when the one that holds it does not answer.
+func (c *Client) Release(ctx context.Context, s *engine.State) error {
+	return c.letGo(ctx, s.Addr, s.Handle)
+}
+
+// CallOff lets go of what a read may have left that was given up. It waits for the read's end first: a call
+// that overtakes the closing of the read's connection would find nothing, and leave what the read then ends with.
+func (c *Client) CallOff(ctx context.Context, addr, request string) error {
+	select {
+	case <-ctx.Done():
+	case <-time.After(readEnds):
+	}
+	return c.letGo(ctx, addr, request)
+}
+
+// GiveUpPlace lets go of a place; the protocol has one call for all that is held.
+func (c *Client) GiveUpPlace(ctx context.Context, addr, request string) error {
+	return c.letGo(ctx, addr, request)
+}
+
+// Renew does nothing: the protocol's engines hold a state until it is let go.
+func (c *Client) Renew(context.Context, *engine.State) error { return nil }
+
+func (c *Client) letGo(ctx context.Context, addr, request string) error {
+	ctx, cancel := context.WithTimeout(ctx, c.opts.ReleaseWithin)
+	defer cancel()
+	tried := map[string]bool{}
+	var last error
+	for {
+		if addr != "" {
+			tried[addr] = true
+			try, end := context.WithTimeout(ctx, firstTry)
+			x, err := c.start(try, addr, &call{method: "DELETE", target: HoldsPath + request, urgent: true})
+			if err == nil {
+				_, err = x.body()
+				if err == nil && x.status >= 300 {
+					err = fmt.Errorf("status %d", x.status)
+				}
+			}
+			x.done()
+			end()
+			if err == nil {
+				return nil
+			}
+			last = err
+		}
+		if addr = c.other(tried); addr == "" {
+			clear(tried) // all once more
+			select {
+			case <-ctx.Done():
+			case <-time.After(firstTry / 10):
+			}
+		}
+		if ctx.Err() != nil {
+			return fmt.Errorf("DELETE %s%s: %w", HoldsPath, request, errors.Join(last, ctx.Err()))
+		}
+	}
+}
+
+// other returns the engine that answered last of those not tried yet; "" if there is none.
+func (c *Client) other(tried map[string]bool) string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	best, at := "", time.Time{}
+	for addr, t := range c.heard {
+		if !tried[addr] && (best == "" || t.After(at)) {
+			best, at = addr, t
+		}
+	}
+	return best
+}
+
+// Reserve asks for a place ahead and tells whether it is known to be held.
+func (c *Client) Reserve(ctx context.Context, addr string, p *engine.PlaceRequest) (bool, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.opts.ProbeWithin)
+	defer cancel()
+	x, err := c.start(ctx, addr, &call{method: "POST", target: HoldsPath + p.Request})
+	defer x.done()
+	if err != nil {
+		return false, err
+	}
+	if _, err := x.body(); err != nil {
+		return false, err
+	}
+	return x.status == 200, nil
+}
+
+// Probe asks for a load report.
+func (c *Client) Probe(ctx context.Context, addr string) engine.Result {
+	ctx, cancel := context.WithTimeoutCause(ctx, c.opts.ProbeWithin, engine.ErrTimedOut)
+	defer cancel()
+	x, err := c.start(ctx, addr, &call{method: "GET", target: LoadPath})
+	defer x.done()
+	if err != nil {
+		return x.failed(err)
+	}
+	b, err := x.body()
+	if err != nil {
+		return x.failed(err)
+	}
+	if x.status != 200 {
+		return engine.Result{Outcome: decide.Error, Report: engine.Untold(), Err: fmt.Errorf("status %d", x.status)}
+	}
+	r := engine.Result{Outcome: decide.Served, Report: parseLoad(b)}
+	if v, n := x.head.Get(LoadHeader); n > 0 && r.Report == engine.Untold() {
+		r.Report = parseLoad([]byte(v))
+	}
+	return r
+}
--- /dev/null
+++ b/internal/engine/chat/pool.go
@@ -0,0 +1,172 @@
+package chat
+
+import (
+	"bufio"
+	"container/list"
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// conn is a connection to an engine. One exchange at a time travels on it.
+type conn struct {
+	net.Conn
+	addr string
+	br   *bufio.Reader
+	used time.Time
+	once sync.Once
+	pool *pool
+	idle *list.Element // in pool.idle; nil while it is out
+}
+
+// Close closes the connection and gives its descriptor back to the pool. It may be called more than once.
+func (c *conn) Close() error {
+	var err error
+	c.once.Do(func() {
+		err = c.Conn.Close()
+		c.pool.mu.Lock()
+		c.pool.total--
+		c.pool.mu.Unlock()
+	})
+	return err
+}
+
+// pool keeps connections for all engines under one bound. Opening one costs its engine work and the request
+// time, so the one used last is taken first; the one unused for longest makes room.
+type pool struct {
+	dialTimeout time.Duration
+	keep        time.Duration // well under the engines' time for idle connections
+	most        int           // open at once
+	spare       int           // more for what has to be let go
+
+	mu    sync.Mutex
+	total int
+	idle  list.List // of *conn, used last in front
+}
+
+var errLimit = errors.New("limit of connections to engines is reached")
+
+// get returns a connection that stands. fresh tells that it was made for this.
+func (p *pool) get(ctx context.Context, addr string, urgent bool) (*conn, error) {
+	for {
+		c := p.take(addr)
+		if c == nil {
+			break
+		}
+		if time.Since(c.used) < p.keep && c.sound() {
+			return c, nil
+		}
+		c.Close()
+	}
+	most := p.most
+	if urgent {
+		most += p.spare
+	}
+	if !p.reserve(most) {
+		return nil, errLimit
+	}
+	d := net.Dialer{Timeout: p.dialTimeout, KeepAlive: -1}
+	nc, err := d.DialContext(ctx, "tcp", addr)
+	if err != nil {
+		p.mu.Lock()
+		p.total--
+		p.mu.Unlock()
+		return nil, err
+	}
+	return &conn{Conn: nc, addr: addr, br: bufio.NewReaderSize(nc, readBuffer), pool: p}, nil
+}
+
+// reserve counts one more connection, and closes the idle one unused for longest when it must.
+func (p *pool) reserve(most int) bool {
+	p.mu.Lock()
+	if p.total < most {
+		p.total++
+		p.mu.Unlock()
+		return true
+	}
+	e := p.idle.Back()
+	if e == nil {
+		p.mu.Unlock()
+		return false
+	}
+	c := e.Value.(*conn)
+	p.drop(c)
+	p.total++
+	p.mu.Unlock()
+	c.Close() // counts down
+	return true
+}
+
+// drop takes an idle connection out of the list.
+func (p *pool) drop(c *conn) {
+	p.idle.Remove(c.idle)
+	c.idle = nil
+}
+
+func (p *pool) take(addr string) *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for e := p.idle.Front(); e != nil; e = e.Next() {
+		if c := e.Value.(*conn); c.addr == addr {
+			p.drop(c)
+			return c
+		}
+	}
+	return nil
+}
+
+// put keeps a connection whose last exchange was whole.
+func (p *pool) put(c *conn) {
+	c.used = time.Now()
+	p.mu.Lock()
+	c.idle = p.idle.PushFront(c)
+	p.mu.Unlock()
+}
+
+// forget closes the idle connections to an address, or all with "".
+func (p *pool) forget(addr string) {
+	p.sweep(func(c *conn) bool { return addr == "" || c.addr == addr })
+}
+
+// expire closes those that an engine may close soon.
+func (p *pool) expire() { p.sweep(func(c *conn) bool { return time.Since(c.used) >= p.keep }) }
+
+func (p *pool) sweep(which func(*conn) bool) {
+	var gone []*conn
+	p.mu.Lock()
+	for e := p.idle.Front(); e != nil; {
+		c := e.Value.(*conn)
+		e = e.Next()
+		if which(c) {
+			p.drop(c)
+			gone = append(gone, c)
+		}
+	}
+	p.mu.Unlock()
+	for _, c := range gone {
+		c.Close()
+	}
+}
+
+// sound tells whether an idle connection still stands and is silent. A request written to one that its
+// engine has closed would end as a reset, of which nobody knows whether it ran.
+func (c *conn) sound() bool {
+	if c.br.Buffered() > 0 {
+		return false // something came after the last answer's end
+	}
+	raw, err := c.Conn.(syscall.Conn).SyscallConn()
+	if err != nil {
+		return false
+	}
+	ok := false
+	var b [1]byte
+	err = raw.Read(func(fd uintptr) bool {
+		_, _, e := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		ok = errors.Is(e, syscall.EAGAIN)
+		return true
+	})
+	return ok && err == nil
+}
--- a/internal/engine/wire.go
+++ b/internal/engine/wire.go
@@ -221,12 +221,21 @@
 	Tokens float64
 }
 
+// Message is a client's request as it came, for engines that get it unchanged.
+type Message struct {
+	Target string // path and query
+	Body   []byte
+}
+
 // Call is what an attempt carries.
 type Call struct {
 	ID     string // of the attempt; the engine's answer has to echo it
 	Model  string
 	Prompt string
 	Params Params
+
+	Message *Message  // nil: the engine gets Prompt and Params
+	Until   time.Time // the router waits no longer for the first sign
 }
 
 // Result is how an attempt ended.
--- /dev/null
+++ b/internal/front/chat/answer.go
@@ -0,0 +1,150 @@
+package chat
+
+import (
+	"context"
+	"os"
+	"strconv"
+	"time"
+
+	"mintdoor/internal/front"
+	"mintdoor/internal/router"
+)
+
+var reasons = map[int]string{200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed",
+	408: "Request Timeout", 413: "Content Too Large", 429: "Too Many Requests", 500: "Internal Server Error",
+	503: "Service Unavailable", 504: "Gateway Timeout"}
+
+// status maps trouble to a status. Only 429 and 503 say that trying again is harmless.
+func status(t front.Trouble) int {
+	switch t {
+	case front.Bad:
+		return 400
+	case front.NotFound:
+		return 404
+	case front.TooLarge:
+		return 413
+	case front.Busy:
+		return 429
+	case front.Unavailable:
+		return 503
+	case front.TimedOut:
+		return 504
+	}
+	return 500
+}
+
+// answer makes a whole answer.
+func (f *Front) answer(code int, contentType string, body []byte, retryAfter time.Duration, closes bool) []byte {
+	b := make([]byte, 0, 192+len(body))
+	b = append(b, "HTTP/1.1 "...)
+	b = strconv.AppendInt(b, int64(code), 10)
+	b = append(b, " "+reasons[code]+"\r\nContent-Type: "+contentType+"\r\nContent-Length: "...)
+	b = strconv.AppendInt(b, int64(len(body)), 10)
+	if retryAfter > 0 && f.opts.RetryAfter {
+		b = append(b, "\r\nRetry-After: "...)
+		b = strconv.AppendFloat(b, retryAfter.Seconds(), 'f', 3, 64)
+	}
+	if closes {
+		b = append(b, "\r\nConnection: close"...)
+	}
+	b = append(b, "\r\n\r\n"...)
+	return append(b, body...)
+}
+
+// say answers with a short text and reports whether the connection can take another request.
+func (c *conn) say(code int, text string, retryAfter time.Duration, closes bool) bool {
+	f := c.front
+	closes = closes || f.last.Load()
+	var body []byte
+	if text != "" {
+		body = []byte(text + "\n")
+	}
+	c.SetWriteDeadline(time.Now().Add(f.opts.Stall))
+	_, err := c.Write(f.answer(code, "text/plain", body, retryAfter, closes))
+	return err == nil && !closes
+}
+
+func (c *conn) fail(e *front.Error, closes bool) bool {
+	return c.say(status(e.Trouble), e.Text, e.RetryAfter, closes)
+}
+
+// hand hands a request's events on to its client, each as it comes, and its ending.
+func (c *conn) hand(ctx context.Context, q *router.Request, closes bool) bool {
+	defer q.Abandon() // of no effect after the ending
+	ctx, left := context.WithCancel(ctx)
+	defer left()
+	watching := c.watch(left)
+	begun := false
+	var buf []byte
+	for {
+		event, end := q.Next(ctx)
+		if end == nil {
+			buf = buf[:0]
+			if !begun {
+				begun = true
+				closes = closes || c.front.last.Load()
+				buf = append(buf, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nCache-Control: no-store\r\n"...)
+				if closes {
+					buf = append(buf, "Connection: close\r\n"...)
+				}
+				buf = append(buf, "Transfer-Encoding: chunked\r\n\r\n"...)
+			}
+			buf = strconv.AppendInt(buf, int64(len(event)), 16)
+			buf = append(append(append(buf, "\r\n"...), event...), "\r\n"...)
+			c.SetWriteDeadline(time.Now().Add(c.front.opts.Stall))
+			if _, err := c.Write(buf); err != nil {
+				return false
+			}
+			continue
+		}
+		e := front.Ended(end)
+		switch {
+		case end.Kind == router.Gone:
+			return false
+		case e != nil && begun:
+			return false // ends without the last chunk
+		case !watching.stop(c):
+			return false
+		case e != nil:
+			return c.fail(e, closes)
+		case !begun:
+			return c.say(500, "an answer without an event", 0, true)
+		}
+		c.SetWriteDeadline(time.Now().Add(c.front.opts.Stall))
+		_, err := c.Write([]byte("0\r\n\r\n"))
+		return err == nil && !closes
+	}
+}
+
+// watcher notices that a client has left while its request is open.
+type watcher struct {
+	done chan struct{}
+	gone bool
+}
+
+// watch reads ahead on the connection. What a client sends before its answer stays in the buffer; from then
+// on its leaving shows only when it is written to.
+func (c *conn) watch(left func()) *watcher {
+	w := &watcher{done: make(chan struct{})}
+	c.SetReadDeadline(time.Time{})
+	c.front.conns.tasks.Add(1)
+	go func() {
+		defer c.front.conns.tasks.Done()
+		defer close(w.done)
+		if _, err := c.br.Peek(c.br.Buffered() + 1); err != nil && !isTimeout(err) && c.br.Buffered() < c.br.Size() {
+			w.gone = true
+			left()
+		}
+	}()
+	return w
+}
+
+func isTimeout(err error) bool { return os.IsTimeout(err) }
+
+// stop ends the watch and reports whether the client is still there.
+func (w *watcher) stop(c *conn) bool {
+	c.SetReadDeadline(time.Unix(1, 0))
+	<-w.done
+	c.SetReadDeadline(time.Time{})
+	return !w.gone
+}
--- /dev/null
+++ b/internal/front/chat/chat.go
@@ -0,0 +1,375 @@
+// Package chat is the platform's front: chat completions over HTTP/1.1, with what the router has to know in
+// headers. It stands on net and http1, since net/http drops what matters here: a second length header, the
+// end of a head that never comes, the moment at which a connection may be closed. Encoding only.
+package chat
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"math"
+	"net"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"mintdoor/internal/engine"
+	"mintdoor/internal/front"
+	"mintdoor/internal/http1"
+	"mintdoor/internal/router"
+)
+
+// The protocol's paths and headers.
+const (
+	ReadyPath = "/up"
+	ChatPath  = "/v1/chat/completions"
+
+	IDHeader      = "X-Correlation-Id"
+	ClassHeader   = "X-Service-Class"
+	SessionHeader = "X-Session-Key"
+	LeftHeader    = "X-Time-Left-Ms"
+	FactsHeader   = "X-Facts"
+	RepeatHeader  = "X-Repeat"
+)
+
+// Bounds of what a client may send.
+const (
+	MaxBody    = 256 << 10
+	maxHead    = 16 << 10
+	maxName    = 64
+	maxTokens  = 1e7
+	maxLeft    = 10 * time.Minute
+	readBuffer = 4096
+	bytesToken = 4.0 // four characters make a token (PROTOCOL)
+)
+
+// Options are what the front is made of.
+type Options struct {
+	Classes    []string // names of the settings' classes
+	RetryAfter bool     // refusals may name a time
+	MaxConns   int
+	BodyBytes  int64         // of all bodies together
+	Within     time.Duration // for a request from its connection's or its first byte's time to its last
+	Idle       time.Duration // a connection between requests is closed after this
+	Stall      time.Duration // a client that takes nothing for so long has left
+	Log        *slog.Logger
+}
+
+// Front serves clients. Make it with New.
+type Front struct {
+	opts   Options
+	core   front.Core
+	log    *slog.Logger
+	conns  conns
+	bodies atomic.Int64
+	last   atomic.Bool // every answer is the last on its connection
+}
+
+// New returns a front that hands requests to core.
+func New(opts Options, core front.Core) *Front {
+	f := &Front{opts: opts, core: core, log: opts.Log}
+	f.conns.most = opts.MaxConns
+	return f
+}
+
+// Serve takes connections until ctx ends; it returns when all of them are closed.
+func (f *Front) Serve(ctx context.Context, l net.Listener) error {
+	stop := context.AfterFunc(ctx, func() {
+		l.Close()
+		f.conns.closeAll()
+	})
+	defer stop()
+	defer f.conns.wait()
+	for {
+		nc, err := l.Accept()
+		if err != nil {
+			if ctx.Err() != nil {
+				return nil
+			}
+			if !errors.Is(err, net.ErrClosed) { // out of descriptors, or the connection is gone already
+				f.log.Warn("accept", "err", err)
+				f.conns.makeRoom()
+				time.Sleep(time.Millisecond)
+				continue
+			}
+			return fmt.Errorf("front: %w", err)
+		}
+		c := &conn{Conn: nc, front: f}
+		if !f.conns.add(c) {
+			// Every connection has a request open.
+			nc.SetWriteDeadline(time.Now().Add(time.Millisecond))
+			nc.Write(f.answer(503, "text/plain", []byte("too many connections\n"), 0, true))
+			nc.Close()
+			continue
+		}
+		go func() {
+			defer f.conns.gone(c)
+			c.serve(ctx)
+		}()
+	}
+}
+
+// Last makes every answer from now on the last of its connection, and closes those without a request: clients
+// are to go elsewhere. New connections are still taken.
+func (f *Front) Last() {
+	f.last.Store(true)
+	f.conns.closeIdle()
+}
+
+// Conns tells how many connections are open.
+func (f *Front) Conns() int { return f.conns.count() }
+
+// conn is a client's connection. Its fields are its goroutine's, but for those of conns.
+type conn struct {
+	net.Conn
+	front *Front
+	br    *bufio.Reader
+	entry entry // of conns
+}
+
+func (c *conn) serve(ctx context.Context) {
+	f := c.front
+	began := time.Now()
+	c.br = bufio.NewReaderSize(c.Conn, readBuffer)
+	c.SetReadDeadline(began.Add(f.opts.Within))
+	for first := true; ; first = false {
+		if !first {
+			if f.last.Load() && c.br.Buffered() == 0 {
+				return
+			}
+			c.SetReadDeadline(time.Now().Add(f.opts.Idle))
+			f.conns.idle(c)
+			if _, err := c.br.Peek(1); err != nil {
+				return
+			}
+			c.SetReadDeadline(time.Now().Add(f.opts.Within))
+		}
+		if !c.request(ctx) {
+			return
+		}
+	}
+}
+
+// request takes one request and answers it. It reports whether the connection can take another.
+func (c *conn) request(ctx context.Context) bool {
+	f := c.front
+	head, err := http1.ReadHead(c.br, maxHead)
+	if err != nil {
+		return c.unreadable(err)
+	}
+	method, target, old, err := head.Request()
+	if err != nil {
+		return c.unreadable(err)
+	}
+	closes := old || head.Closes()
+	body, err := c.body(head)
+	defer f.bodies.Add(-int64(cap(body)))
+	if err != nil {
+		return c.unreadable(err)
+	}
+	f.conns.busy(c)
+	path, _, _ := strings.Cut(target, "?")
+	switch {
+	case path == ReadyPath && method == "GET":
+		if f.core.Ready() && !f.last.Load() {
+			return c.say(200, "", 0, closes)
+		}
+		return c.say(503, "not ready", 0, closes)
+	case path != ChatPath:
+		return c.say(404, "no such path", 0, closes)
+	case method != "POST":
+		return c.say(405, "POST only", 0, closes)
+	}
+	job, bad := f.job(head, target, body, time.Now())
+	if bad != nil {
+		f.log.Info("bad request", "client", c.RemoteAddr().String(), "reason", bad.Text)
+		return c.fail(bad, true)
+	}
+	q, err := f.core.Submit(job)
+	if err != nil {
+		if errors.Is(err, router.ErrOpen) {
+			return c.fail(&front.Error{Trouble: front.Bad, Text: err.Error()}, true)
+		}
+		return c.fail(front.Submitted(err), closes)
+	}
+	return c.hand(ctx, q, closes)
+}
+
+// unreadable answers what can't be read and has the connection closed: nobody knows where a next request
+// would begin.
+func (c *conn) unreadable(err error) bool {
+	code, text := 400, err.Error()
+	var late net.Error
+	switch {
+	case errors.Is(err, io.EOF) || errors.Is(err, net.ErrClosed):
+		return false
+	case errors.Is(err, errNoRoom):
+		code = 503
+	case errors.Is(err, http1.ErrTooLarge):
+		code = 413
+	case errors.As(err, &late) && late.Timeout():
+		code, text = 408, "the request did not end in time"
+	}
+	c.front.log.Info("unreadable request", "client", c.RemoteAddr().String(), "err", err)
+	return c.say(code, text, 0, true)
+}
+
+var errNoRoom = errors.New("no room for a body")
+
+// body reads a body. What it takes is counted among the bodies of all; the caller counts it off. The room
+// grows as bytes come, whatever length is claimed.
+func (c *conn) body(h *http1.Head) ([]byte, error) {
+	length, chunked, err := h.Framing()
+	if err != nil {
+		return nil, err
+	}
+	if length > MaxBody {
+		return nil, fmt.Errorf("%w: body of %d bytes", http1.ErrTooLarge, length)
+	}
+	if length == 0 || length == http1.Untold && !chunked {
+		return nil, nil
+	}
+	if v, n := h.Get("Expect"); n > 0 {
+		if !strings.EqualFold(v, "100-continue") {
+			return nil, fmt.Errorf("%w: Expect", http1.ErrMalformed)
+		}
+		if _, err := io.WriteString(c, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
+			return nil, err
+		}
+	}
+	var r io.Reader
+	most := int64(MaxBody) + 1
+	if chunked {
+		r = http1.NewChunks(c.br, MaxBody)
+	} else {
+		r = io.LimitReader(c.br, length)
+		most = length
+	}
+	var b []byte
+	for {
+		if len(b) == cap(b) {
+			grown := min(max(2*int64(cap(b)), 8<<10), most)
+			if grown == int64(cap(b)) {
+				break // as much as there may be
+			}
+			if c.front.bodies.Add(grown-int64(cap(b))) > c.front.opts.BodyBytes {
+				c.front.bodies.Add(int64(cap(b)) - grown)
+				return b, errNoRoom
+			}
+			b = append(make([]byte, 0, grown), b...)
+		}
+		n, err := r.Read(b[len(b):cap(b)])
+		b = b[:len(b)+n]
+		if errors.Is(err, io.EOF) {
+			break
+		}
+		if err != nil {
+			return b, err
+		}
+	}
+	switch {
+	case len(b) > MaxBody:
+		return b, fmt.Errorf("%w: body", http1.ErrTooLarge)
+	case !chunked && int64(len(b)) < length:
+		return b, io.ErrUnexpectedEOF
+	}
+	return b, nil
+}
+
+func wrong(format string, args ...any) *front.Error {
+	return &front.Error{Trouble: front.Bad, Text: fmt.Sprintf(format, args...)}
+}
+
+// job is a request's meaning. now is when its last byte had come.
+func (f *Front) job(h *http1.Head, target string, body []byte, now time.Time) (*router.Job, *front.Error) {
+	one := func(name string) (string, *front.Error) {
+		v, n := h.Get(name)
+		if n > 1 {
+			return "", wrong("%s stands %d times", name, n)
+		}
+		if len(v) > maxName && name != FactsHeader {
+			return "", wrong("%s is longer than %d bytes", name, maxName)
+		}
+		return v, nil
+	}
+	var first *front.Error
+	get := func(name string) string {
+		v, e := one(name)
+		if first == nil {
+			first = e
+		}
+		return v
+	}
+	id, class, left, facts := get(IDHeader), get(ClassHeader), get(LeftHeader), get(FactsHeader)
+	session, repeat := get(SessionHeader), get(RepeatHeader)
+	switch {
+	case first != nil:
+		return nil, first
+	case !http1.Token(id): // it becomes part of a path
+		return nil, wrong("%s %.40q is no id", IDHeader, id)
+	case !json.Valid(body):
+		return nil, wrong("the body is not JSON")
+	}
+	j := &router.Job{Name: id, ClientID: id, Class: -1, ClassName: class, Tenant: math.MaxInt, Session: session,
+		Message:      &engine.Message{Target: target, Body: body},
+		PromptTokens: max(float64(len(body))/bytesToken, 1), Repeat: repeat == "1", AfterBreak: repeat == "again"}
+	for i, name := range f.opts.Classes {
+		if name == class {
+			j.Class = i
+		}
+	}
+	if j.Class < 0 {
+		return nil, wrong("there is no class %.40q", class)
+	}
+	ms, err := strconv.ParseInt(left, 10, 64)
+	if err != nil || ms <= 0 || ms > maxLeft.Milliseconds() {
+		return nil, wrong("%s %.40q is no time that a client waits", LeftHeader, left)
+	}
+	j.Deadline = now.Add(time.Duration(ms) * time.Millisecond)
+	if e := takeFacts(j, facts); e != nil {
+		return nil, e
+	}
+	return j, nil
+}
+
+// takeFacts takes in the facts of a prompt.
+func takeFacts(j *router.Job, facts string) *front.Error {
+	if facts == "" {
+		return nil
+	}
+	for _, pair := range strings.Split(facts, ",") {
+		name, value, ok := strings.Cut(strings.TrimSpace(pair), "=")
+		if !ok {
+			return wrong("%s: %.40q has no '='", FactsHeader, pair)
+		}
+		if name == "prefix" {
+			if len(value) > maxName {
+				return wrong("%s: prefix is longer than %d bytes", FactsHeader, maxName)
+			}
+			j.SharedText = value
+			continue
+		}
+		if name != "prompt_len" && name != "prefix_len" && name != "max_out" {
+			continue
+		}
+		n, err := strconv.ParseFloat(value, 64)
+		if err != nil || !(n >= 0 && n <= maxTokens) {
+			return wrong("%s: %s is no length: %.40q", FactsHeader, name, value)
+		}
+		switch name {
+		case "prompt_len":
+			j.PromptTokens = max(n, 1)
+		case "prefix_len":
+			j.SharedTokens = n
+		case "max_out":
+			j.MaxTokens = int(n)
+		}
+	}
+	j.SharedTokens = min(j.SharedTokens, j.PromptTokens)
+	return nil
+}
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,165 @@
+// Package node puts a router together for the platform: its configuration, its limits, its signals, and the
+// core with the platform's front, engines' client and discovery.
+package node
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net"
+	"os"
+	"runtime"
+	"runtime/debug"
+	"time"
+
+	"mintdoor/internal/discovery"
+	"mintdoor/internal/discovery/watch"
+	engines "mintdoor/internal/engine/chat"
+	front "mintdoor/internal/front/chat"
+	"mintdoor/internal/router"
+
+	"golang.org/x/sync/errgroup"
+)
+
+// Node is a router on the platform.
+type Node struct {
+	Router *router.Router
+
+	cfg      *Config
+	log      *slog.Logger
+	source   *watch.Source
+	engines  *engines.Client
+	front    *front.Front
+	listener net.Listener
+	drain    chan struct{}
+}
+
+// Times of the transport; every time that decides something is the module's.
+const (
+	requestWithin = 2 * time.Second // a client's message; bad clients are owed a word within 3 s
+	clientIdle    = 6 * time.Second
+	clientStall   = 5 * time.Second
+	streamIdle    = 30 * time.Second // silent engines hold no descriptors for ever
+	idleMargin    = 3                // of this many parts of the engines' idle time one is left unused
+	streamParts   = 64
+	settle        = 2 * time.Second
+	// arrivals is how long after SIGTERM new connections keep coming; a connection in the kernel's queue
+	// counts as taken, so the listener stays open longer.
+	arrivals = time.Second
+)
+
+// budget shares out descriptors: a third may hold requests of clients, each of which needs an engine's
+// connection too. Both sides get room beside that, and something is left for the list and for releases.
+type budget struct{ clients, engines, spare, open int }
+
+func share(sockets int) budget {
+	const base = 20 // standard files, poller, listener, discovery, files read now and then
+	free := sockets - base
+	b := budget{spare: max(free/32, 6)}
+	b.engines = free*45/100 - b.spare
+	b.clients = free - b.engines - b.spare
+	b.open = b.engines - max(b.engines/8, 8) // the rest for probes
+	return b
+}
+
+// New listens and puts the parts together; Run starts them.
+func New(cfg *Config, log *slog.Logger) (*Node, error) {
+	listener, err := net.Listen("tcp", cfg.Listen)
+	if err != nil {
+		return nil, fmt.Errorf("front: %w", err)
+	}
+	set := cfg.Settings
+	b := share(cfg.Sockets)
+	n := &Node{cfg: cfg, log: log, listener: listener, drain: make(chan struct{}, 1)}
+	n.source = watch.New(cfg.Discovery, set.Kinds, cfg.Known, log)
+	connIdle := time.Duration(set.ConnIdle)
+	n.engines = engines.New(engines.Options{DialTimeout: time.Duration(set.Decide.DialTimeout),
+		ConnIdle: connIdle - connIdle/idleMargin, MaxConns: b.engines, SpareConns: b.spare, StreamIdle: streamIdle,
+		ReleaseWithin: 2 * time.Duration(set.Decide.LetGoWithin), ProbeWithin: time.Duration(set.Decide.DialTimeout)})
+	zone := ""
+	if z := set.Decide.Zone; z < len(set.Zones) {
+		zone = set.Zones[z]
+	}
+	set.Decide.Zone = discovery.Number(zone) // as the list's zones are numbered
+	n.Router = router.New(router.Config{Name: cfg.Name, Settings: set.Decide, Kinds: set.Kinds, Engines: n.engines,
+		Holds: router.ByRequest, Seed: cfg.Seed, Log: log, MaxOpen: b.open, StreamParts: streamParts,
+		ClientStall: clientStall, Settle: settle})
+	n.front = front.New(front.Options{Classes: set.Classes, RetryAfter: set.RetryAfter, MaxConns: b.clients,
+		BodyBytes: int64(cfg.MemoryMB * (1 << 20) / 5), Within: requestWithin, Idle: clientIdle, Stall: clientStall,
+		Log: log}, n.Router)
+	return n, nil
+}
+
+// Limit sets the runtime's bounds from the configuration.
+func (c *Config) Limit() {
+	runtime.GOMAXPROCS(1)
+	debug.SetMemoryLimit(int64(c.MemoryMB * (1 << 20) * 6 / 10))
+}
+
+// Addr is where the front listens.
+func (n *Node) Addr() string { return n.listener.Addr().String() }
+
+// Drain lets clients go elsewhere: what comes is still answered, each on the last use of its connection, and
+// Run returns when nothing is open any more.
+func (n *Node) Drain() {
+	select {
+	case n.drain <- struct{}{}:
+	default:
+	}
+}
+
+// Reload reads the configuration anew. Only discovery can move while a router runs; with an error all stays
+// as it is.
+func (n *Node) Reload() {
+	c, err := Load(os.Getenv)
+	if err != nil {
+		n.log.Error("the new configuration is not taken", "err", err)
+		return
+	}
+	n.source.Move(c.Discovery)
+}
+
+// Run runs until ctx ends, which answers what is open at once, or until Drain has done its work.
+func (n *Node) Run(ctx context.Context) error {
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
+	g, ctx := errgroup.WithContext(ctx)
+	serving, unlisten := context.WithCancel(ctx)
+	defer unlisten()
+	g.Go(func() error { return n.source.Run(ctx, n.Router.Update) })
+	g.Go(func() error { return n.engines.Run(ctx) })
+	g.Go(func() error {
+		defer stop()
+		return n.Router.Run(ctx)
+	})
+	g.Go(func() error { return n.front.Serve(serving, n.listener) })
+	g.Go(func() error {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-n.drain:
+		}
+		n.log.Info("draining", "open", n.Router.Stats().Open, "connections", n.front.Conns())
+		n.front.Last()
+		look := time.NewTicker(arrivals / 20)
+		defer look.Stop()
+		for until := time.Now().Add(arrivals); time.Now().Before(until) || n.front.Conns() > 0; {
+			select {
+			case <-ctx.Done():
+				return nil
+			case <-look.C:
+				n.front.Last() // those that became idle meanwhile
+			}
+		}
+		unlisten()
+		n.Router.Drain()
+		return nil
+	})
+	n.log.Info("router up", "name", n.Router.Name(), "listen", n.Addr(), "sockets", n.cfg.Sockets,
+		"memory_mb", n.cfg.MemoryMB)
+	err := g.Wait()
+	s := n.Router.Stats()
+	n.log.Info("router down", "name", n.Router.Name(), "served", s.Served, "refused", s.Refused, "failed", s.Failed,
+		"gone", s.Gone)
+	return err
+}
--- a/internal/router/actions.go
+++ b/internal/router/actions.go
@@ -115,7 +115,7 @@
 	}
 	a.limit = r.timers.add(&entry{at: at, attempt: a})
 	r.fill(a, f)
-	if a.call.Params.Handle != "" {
+	if a.call.Params.Handle != "" && r.cfg.Holds == Leased {
 		a.renewal = r.timers.add(&entry{at: r.now + r.renewEvery(), renew: a})
 	}
 	r.count.sends.Add(1)
@@ -128,12 +128,13 @@
 // fill makes what the attempt carries.
 func (r *Router) fill(a *attempt, f *flight) {
 	j := &f.q.job
-	a.call = engine.Call{ID: f.name + "." + strconv.Itoa(a.number), Model: r.cfg.Model, Params: engine.Params{
-		Stage: engine.StageDecode, Request: f.name, Client: j.ClientID, Class: j.ClassName, Tenant: j.TenantName,
-		Session: j.Session, SharedText: j.SharedText, PromptTokens: j.PromptTokens,
-		SharedTokens: j.SharedTokens, MaxTokens: j.MaxTokens,
-		HoldMillis: float64(r.cfg.Settings.LetGoWithin) / 1e6,
-	}}
+	a.call = engine.Call{ID: f.name + "." + strconv.Itoa(a.number), Model: r.cfg.Model, Message: j.Message,
+		Until: r.start.Add(time.Duration(a.limit.at - decide.Time(r.start.UnixNano()))), Params: engine.Params{
+			Stage: engine.StageDecode, Request: f.name, Client: j.ClientID, Class: j.ClassName, Tenant: j.TenantName,
+			Session: j.Session, SharedText: j.SharedText, PromptTokens: j.PromptTokens,
+			SharedTokens: j.SharedTokens, MaxTokens: j.MaxTokens,
+			HoldMillis: float64(r.cfg.Settings.LetGoWithin) / 1e6,
+		}}
 	switch {
 	case a.prefill:
 		a.call.Params.Stage, a.call.Prompt = engine.StagePrefill, j.Prompt
@@ -144,7 +145,7 @@
 	}
 	if p := f.place; p != nil && !a.prefill && p.server != a.server {
 		f.place = nil // a send to another writer gives the place up
-		r.giveUpPlace(f.name, p)
+		r.giveUpPlace(f, p)
 	}
 }
 
@@ -158,11 +159,11 @@
 	} else {
 		res = r.cfg.Engines.Decode(a.ctx, a.addr, &a.call, r.sink(a))
 	}
-	if a.prefill && !answered(res.Outcome) {
-		r.callOff(a)
+	if a.prefill && !answered(res.Outcome) && r.cfg.Holds == Leased {
+		r.callOff(a.addr, a.call.Params.Request)
 	}
 	if !r.post(message{kind: attemptEnded, a: a, res: res}) {
-		r.orphaned(&a.call, &res)
+		r.orphaned(a.addr, &a.call, &res)
 	}
 }
 
@@ -173,19 +174,23 @@
 
 // callOff sees to a read that was given up: its engine may have finished it in the same moment, and nobody
 // knows that state's name.
-func (r *Router) callOff(a *attempt) {
+func (r *Router) callOff(addr, request string) {
 	r.work.Add(1)
 	go func() {
 		defer r.work.Done()
-		if err := r.cfg.Engines.CallOff(r.workCtx, a.addr, a.call.Params.Request); err != nil {
-			r.log.Debug("a read was not called off; the engine lets go by itself", "attempt", a.call.ID, "err", err)
+		if err := r.cfg.Engines.CallOff(r.workCtx, addr, request); err != nil {
+			r.log.Warn("a read was not called off; the engine lets go by itself", "request", request, "engine", addr,
+				"err", err)
 		}
 	}()
 }
 
 // orphaned lets go of what an attempt leaves when the loop has stopped: nobody else will.
-func (r *Router) orphaned(call *engine.Call, res *engine.Result) {
+func (r *Router) orphaned(addr string, call *engine.Call, res *engine.Result) {
 	s := res.State
+	if r.cfg.Holds == ByRequest && res.Outcome != decide.Served {
+		s = &engine.State{Addr: addr, Handle: call.Params.Request}
+	}
 	if s == nil && call.Params.Handle != "" && res.Outcome != decide.Served {
 		s = &engine.State{Addr: call.Params.Source, Handle: call.Params.Handle}
 	}
@@ -259,25 +264,63 @@
 
 // release lets go of what is held for a request and no attempt is waiting on.
 func (r *Router) release(f *flight) {
+	if r.cfg.Holds == ByRequest {
+		if f.owed = f.owed || f.state != nil || f.place != nil; f.out == nil {
+			f.place = nil // a state stays known by its engine, for letGo
+		}
+		return
+	}
 	using := f.out != nil && !f.out.prefill
 	if s := f.state; s != nil && !using {
 		f.state = nil
-		r.count.releases.Add(1)
-		r.work.Add(1)
-		go func() {
-			defer r.work.Done()
-			if err := r.cfg.Engines.Release(r.workCtx, s); err != nil {
-				r.log.Warn("release failed; the engine lets go by itself", "request", f.name, "engine", s.Addr, "err", err)
-			}
-		}()
+		r.letGoOf(f.name, s)
 	}
 	if p := f.place; p != nil && !(using && f.out.server == p.server) {
 		f.place = nil
-		r.giveUpPlace(f.name, p)
+		r.giveUpPlace(f, p)
+	}
+}
+
+// letGo lets go of all that may be held for a request that is over.
+func (r *Router) letGo(f *flight) {
+	if r.cfg.Holds == Leased {
+		r.release(f)
+		return
+	}
+	switch {
+	case f.unsure != "": // also lets go of what is known
+		r.count.releases.Add(1)
+		r.callOff(f.unsure, f.name)
+	case f.state != nil:
+		r.letGoOf(f.name, f.state)
+	case f.place != nil:
+		r.letGoOf(f.name, &engine.State{Addr: f.place.addr, Handle: f.name})
+	case f.owed:
+		r.letGoOf(f.name, &engine.State{Handle: f.name}) // any engine will do
+	}
+	f.unsure, f.state, f.place, f.owed = "", nil, nil, false
+}
+
+func (r *Router) letGoOf(request string, s *engine.State) {
+	r.count.releases.Add(1)
+	r.work.Add(1)
+	go func() {
+		defer r.work.Done()
+		if err := r.cfg.Engines.Release(r.workCtx, s); err != nil {
+			r.log.Warn("release failed; the engine lets go by itself", "request", request, "engine", s.Addr, "err", err)
+		}
+	}()
+}
+
+func (r *Router) giveUpPlace(f *flight, p *place) {
+	if r.cfg.Holds == ByRequest {
+		f.owed = true
+		return
 	}
+	r.dropPlace(f.name, p)
 }
 
-func (r *Router) giveUpPlace(request string, p *place) {
+func (r *Router) dropPlace(request string, p *place) {
 	r.work.Add(1)
 	go func() {
 		defer r.work.Done()
@@ -312,7 +355,7 @@
 		return // as the module's interface has it: no answer then
 	}
 	if f.place != nil {
-		r.giveUpPlace(f.name, f.place)
+		r.giveUpPlace(f, f.place)
 	}
 	p := &place{server: id, addr: s.addr}
 	f.place = p
@@ -325,7 +368,7 @@
 		if err != nil {
 			r.log.Debug("no answer to a place asked for", "request", ask.Request, "err", err)
 		}
-		if !r.post(message{kind: placed, id: f.id, place: p, server: id, held: held}) && held {
+		if !r.post(message{kind: placed, id: f.id, place: p, name: ask.Request, server: id, held: held}) && held {
 			r.cfg.Engines.GiveUpPlace(r.workCtx, p.addr, ask.Request)
 		}
 	}()
@@ -334,13 +377,16 @@
 func (r *Router) placed(m *message) {
 	f := r.table.rows[m.id]
 	if f == nil || f.place != m.place { // given up meanwhile; the first word may have come too early
-		if m.held {
-			r.giveUpPlace(r.name+"."+formatID(uint64(m.id)), m.place)
+		switch {
+		case f != nil && r.cfg.Holds == ByRequest:
+			f.owed = true
+		case m.held:
+			r.dropPlace(m.name, m.place)
 		}
 		return
 	}
 	if m.place.held = m.held; !m.held {
-		f.place = nil
+		f.place, f.owed = nil, true // "not held" may mean that nobody knows
 	}
 	if f.out != nil && f.out.prefill {
 		r.tell(&decide.Event{Kind: decide.PlaceAnswer, Request: f.id, Server: m.server, Attempt: f.out.number,
--- a/internal/router/loop.go
+++ b/internal/router/loop.go
@@ -24,6 +24,7 @@
 	server decide.ServerID  // probed, placed
 	id     decide.RequestID // placed
 	place  *place           // placed
+	name   string           // placed
 	held   bool             // placed
 	spent  time.Duration    // probed
 }
@@ -165,9 +166,16 @@
 	}
 }
 
+// naming gives a request the name by which engines know it.
+func (r *Router) naming(f *flight) {
+	if f.name = f.q.job.Name; f.name == "" {
+		f.name = r.name + "." + formatID(uint64(f.id))
+	}
+}
+
 func (r *Router) arrive(q *Request) {
 	f := r.table.add(q)
-	f.name = r.name + "." + formatID(uint64(f.id))
+	r.naming(f)
 	r.count.arrived.Add(1)
 	if r.cfg.Observe != nil {
 		r.cfg.Observe.Arrived(&q.job)
@@ -192,6 +200,9 @@
 	r.timers.remove(a.limit)
 	r.timers.remove(a.renewal)
 	f.end(a, res)
+	if a.prefill && !answered(res.Outcome) {
+		f.unsure = a.addr
+	}
 	if o := r.cfg.Observe; o != nil {
 		if res.Outcome == decide.ReadDone {
 			o.Read(&f.q.job, res.Kept)
@@ -245,7 +256,10 @@
 			r.cfg.Engines.Forget(e.Addr)
 			continue
 		}
-		s := &server{name: e.Name, addr: e.Addr}
+		s := &server{name: e.Name, addr: e.Addr, since: e.Since}
+		if old := r.servers[e.ID()]; old != nil && (old.addr != e.Addr || !old.since.Equal(e.Since)) {
+			r.cfg.Engines.Forget(old.addr) // its connections belong to a process that is no more
+		}
 		if k := r.kind(e.Kind); k >= 0 {
 			s.role = r.cfg.Settings.Kinds[k].Role
 		}
@@ -357,9 +371,10 @@
 	if !f.over() || r.table.rows[f.id] != f {
 		return
 	}
-	r.release(f)
+	r.letGo(f)
 	r.timers.remove(f.guard)
 	r.table.remove(f)
+	r.unclaim(f.q.job.Name)
 	r.count.open.Add(-1)
 	if r.cfg.Observe != nil {
 		r.cfg.Observe.Over(&f.q.job)
@@ -398,12 +413,15 @@
 			switch m.kind {
 			case arrived:
 				f := r.table.add(m.q)
-				f.name = r.name + "." + formatID(uint64(f.id))
+				r.naming(f)
 			case firstToken:
 				m.a.granted <- false
 			case attemptEnded:
 				m.a.ended = true
 				m.a.flight.end(m.a, &m.res)
+				if m.a.prefill && !answered(m.res.Outcome) {
+					m.a.flight.unsure = m.a.addr
+				}
 				if m.a.streaming {
 					r.endStream(m.a.flight, m.a, &m.res)
 				}
@@ -418,7 +436,12 @@
 		if f.out != nil {
 			f.out.cancel(engine.ErrCancelled)
 		}
-		r.release(f)
+		if f.out == nil { // else its attempt is orphaned and sees to it
+			r.letGo(f)
+		} else {
+			r.release(f)
+		}
+		r.unclaim(f.q.job.Name)
 		r.count.open.Add(-1)
 	}
 	r.table = newTable()
@@ -433,7 +456,7 @@
 	}
 	for len(r.mail) > 0 { // posted in the moment of quit
 		if m := <-r.mail; m.kind == attemptEnded {
-			r.orphaned(&m.a.call, &m.res)
+			r.orphaned(m.a.addr, &m.a.call, &m.res)
 		}
 	}
 	r.endWork()
--- a/internal/router/request.go
+++ b/internal/router/request.go
@@ -5,10 +5,13 @@
 	"errors"
 	"sync/atomic"
 	"time"
+
+	"mintdoor/internal/engine"
 )
 
 // Job is a request's meaning, as a front has understood it.
 type Job struct {
+	Name         string // by which engines know the request over all its attempts; "": the router makes one
 	ClientID     string // as the client gave it; echoed, and told to engines
 	Class        int    // index of the settings
 	ClassName    string
@@ -19,6 +22,7 @@
 	Deadline     time.Time
 	Hint         time.Duration // rough length of the answer as time; 0 not told
 	Prompt       string
+	Message      *engine.Message // the client's own, where engines get it unchanged; nil else
 	PromptTokens float64
 	SharedTokens float64
 	MaxTokens    int
@@ -117,6 +121,7 @@
 	ErrStopping = errors.New("the router is stopping")
 	ErrTooMany  = errors.New("too many requests are open")
 	ErrLate     = errors.New("the deadline has passed")
+	ErrOpen     = errors.New("a request of this name is open")
 )
 
 // Waiting tells whether Next would return a token at once.
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -40,6 +40,19 @@
 	Forget(addr string)
 }
 
+// Holds tells how engines hold what waits for a request between its stages.
+type Holds uint8
+
+const (
+	// Leased states have handles of their own and are held for a time that the router renews. Each is let go
+	// as soon as the module says so.
+	Leased Holds = iota
+	// ByRequest: all that is held stands under the request's one id until it is let go. Letting go takes
+	// whatever is there when the call arrives, also what a later attempt has just read, so it waits until the
+	// request is over. Until then an attempt is out, and the time of rule 5 rests.
+	ByRequest
+)
+
 // Observer is told what is asked and what it takes. It is called from the loop and must not block.
 type Observer interface {
 	Arrived(j *Job)
@@ -55,6 +68,7 @@
 	Settings *decide.Settings
 	Kinds    []string // names of Settings.Kinds, by which lists refer to them
 	Engines  Engines
+	Holds    Holds
 	Seed     uint64
 	Log      *slog.Logger // nil: none
 
@@ -103,6 +117,9 @@
 	endWork context.CancelFunc
 	count   counters
 
+	mu   sync.Mutex
+	open map[string]bool // names of open requests that came with their jobs
+
 	// What follows belongs to the loop.
 	module     Decider
 	generation int
@@ -120,6 +137,7 @@
 type server struct {
 	name, addr string
 	role       decide.Role
+	since      time.Time
 }
 
 const (
@@ -141,6 +159,7 @@
 	r := &Router{
 		cfg: cfg, log: cfg.Log, start: time.Now(),
 		mail: make(chan message, mailbox), quit: make(chan struct{}), stopped: make(chan struct{}),
+		open:  map[string]bool{},
 		drain: make(chan struct{}), table: newTable(), servers: map[decide.ServerID]*server{},
 	}
 	r.name = cfg.Name + "-" + formatID(uint64(r.start.UnixNano()))
@@ -175,15 +194,42 @@
 		r.count.open.Add(-1)
 		return nil, ErrTooMany
 	}
+	if !r.claim(job.Name) {
+		r.count.open.Add(-1)
+		return nil, ErrOpen
+	}
 	q := &Request{job: *job, router: r, arrived: now,
 		parts: make(chan string, r.cfg.StreamParts), done: make(chan struct{})}
 	if !r.post(message{kind: arrived, q: q}) {
+		r.unclaim(job.Name)
 		r.count.open.Add(-1)
 		return nil, ErrStopping
 	}
 	return q, nil
 }
 
+// claim takes a name for a request; false if an open one has it. The empty name is anybody's.
+func (r *Router) claim(name string) bool {
+	if name == "" {
+		return true
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.open[name] {
+		return false
+	}
+	r.open[name] = true
+	return true
+}
+
+func (r *Router) unclaim(name string) {
+	if name != "" {
+		r.mu.Lock()
+		delete(r.open, name)
+		r.mu.Unlock()
+	}
+}
+
 // Update takes in what discovery has learnt.
 func (r *Router) Update(u discovery.Update) { r.post(message{kind: listed, update: u}) }
 
--- a/internal/router/table.go
+++ b/internal/router/table.go
@@ -23,6 +23,8 @@
 	answered bool
 	state    *engine.State // waits at an engine for this request
 	place    *place        // asked for or held ahead
+	unsure   string        // address of a reader that may hold a state nobody heard of; "" none
+	owed     bool          // ByRequest: something of it is to be let go at its end
 	lastErr  error         // of the last attempt that failed
 	late     bool          // the last attempt that failed timed out
 }
@@ -52,6 +54,7 @@
 	}
 	a.streaming = true
 	f.state, f.place = nil, nil // both have gone into the stream
+	f.unsure, f.owed = "", false
 	return true
 }
 
@@ -64,7 +67,7 @@
 	case res.Outcome == decide.Served || res.NoState:
 		f.state = nil
 		if res.Outcome == decide.Served {
-			f.place = nil
+			f.place, f.unsure, f.owed = nil, "", false
 		}
 	}
 	if res.Outcome != decide.ReadDone && res.Outcome != decide.Served {
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,290 @@
+// Package settings reads what the platform tells a router of its deployment. The same names come as path=value
+// lines (the simulator) and as nested JSON (the configuration file of a running router): both are flattened
+// to one form, and one reader makes the module's settings of it, so that the two can't come to differ. It
+// decides nothing.
+package settings
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"math"
+	"strconv"
+	"strings"
+
+	"mintdoor/decide"
+)
+
+// Deployment is what the settings say: the module's part, and the names and figures that adapters need.
+type Deployment struct {
+	Decide     *decide.Settings
+	Classes    []string        // names of Decide.Classes
+	Kinds      []string        // names of Decide.Kinds
+	Zones      []string        // by their index
+	Fields     []string        // of a load report, in order
+	RetryAfter bool            // refusals may name a time
+	ConnIdle   decide.Duration // engines close a connection that stood idle for so long
+}
+
+// Lines reads path=value lines.
+func Lines(text string) (*Deployment, error) {
+	p := &pairs{values: map[string]string{}}
+	for i, line := range strings.Split(text, "\n") {
+		if strings.TrimSpace(line) == "" {
+			continue
+		}
+		path, value, ok := strings.Cut(line, "=")
+		if !ok {
+			return nil, fmt.Errorf("settings line %d: %q has no '='", i+1, line)
+		}
+		p.values[path] = strings.TrimSuffix(value, "\r")
+	}
+	return p.deployment()
+}
+
+// JSON reads a nested object.
+func JSON(data []byte) (*Deployment, error) {
+	d := json.NewDecoder(bytes.NewReader(data))
+	d.UseNumber()
+	var v map[string]any
+	if err := d.Decode(&v); err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	p := &pairs{values: map[string]string{}}
+	p.flatten("", v)
+	return p.deployment()
+}
+
+// flatten puts a value under its path: lists of scalars joined by commas, lists of objects by their count
+// and their indices, as the simulator writes them.
+func (p *pairs) flatten(path string, v any) {
+	under := func(key string) string {
+		if path == "" {
+			return key
+		}
+		return path + "." + key
+	}
+	switch v := v.(type) {
+	case map[string]any:
+		for key, of := range v {
+			p.flatten(under(key), of)
+		}
+	case []any:
+		var scalars []string
+		objects := 0
+		for i, of := range v {
+			if o, ok := of.(map[string]any); ok {
+				objects++
+				p.flatten(under(strconv.Itoa(i)), o)
+				continue
+			}
+			scalars = append(scalars, scalar(of))
+		}
+		if objects > 0 {
+			p.values[under("count")] = strconv.Itoa(len(v))
+			return
+		}
+		p.values[path] = strings.Join(scalars, ",")
+	case nil:
+	default:
+		p.values[path] = scalar(v)
+	}
+}
+
+func scalar(v any) string {
+	switch v := v.(type) {
+	case string:
+		return strings.NewReplacer(" ", "_", ",", "_").Replace(v)
+	default: // json.Number and bool print as they stood
+		return fmt.Sprint(v)
+	}
+}
+
+// pairs holds the settings by path and remembers the first thing wrong with one.
+type pairs struct {
+	values map[string]string
+	err    error
+}
+
+// deployment makes the settings. Unknown keys are passed over; a key that the module needs and that is
+// missing or malformed is an error that names it.
+func (p *pairs) deployment() (*Deployment, error) {
+	s := &decide.Settings{
+		Routers: int(p.atLeast("instances", 1)), Index: int(p.atLeast("index", 0)),
+		Zone: int(p.optional("zone", 0)), OverShareWorth: p.optional("overShareWorth", 1),
+		Probing: p.flag("permissions.probing"), MayCancel: p.flag("permissions.mayCancel"),
+		MayReserve: p.flag("familyInfo.mayReserve"), Resume: p.flag("familyInfo.resume"),
+		WritersRead: p.flag("familyInfo.localRead"), AskMembership: p.values["membershipMode"] == "ask",
+		MaxAttempts: int(p.atLeast("permissions.maxAttempts", 1)),
+		DialTimeout: p.time("permissions.dialTimeoutNs"),
+		AnswerGrace: p.time("obligations.graceToAnswerNs"), DrainGrace: p.time("obligations.drainGraceNs"),
+		AskWithin:     decide.Duration(p.optional("obligations.askWithinNs", 0)),
+		LetGoWithin:   p.time("familyInfo.letGoByNs"),
+		FallMultiple:  p.atLeast("obligations.fallMultiple", 0),
+		OverloadFor:   p.time("obligations.overloadForNs"),
+		StartCapacity: p.atLeast("obligations.startCapacity", 0), ColdFor: p.time("obligations.coldNs"),
+		ProbeFee: p.optional("fees.probe", 0), WasteFee: p.optional("fees.waste", 0),
+		LateFailFee: p.optional("fees.lateFail", 0), ZoneFee: p.optional("fees.crossZone", 0),
+		CellFee: p.optional("familyInfo.crossCellPrice", 0),
+	}
+	d := &Deployment{Decide: s, RetryAfter: p.flag("permissions.retryAfter"),
+		ConnIdle: decide.Duration(p.optional("permissions.connIdleNs", 0)),
+		Fields:   p.list("feedback.names"), Zones: p.list("dcs"), Kinds: p.list("hostTypes")}
+	if d.RetryAfter {
+		s.MaxRetryAfter = p.time("permissions.maxRetryAfterNs")
+	}
+	p.classes(d)
+	p.kinds(s)
+	for i := range int(p.optional("projects.count", 0)) {
+		s.Tenants = append(s.Tenants, decide.Tenant{
+			PerSecond: p.optional(fmt.Sprintf("projects.%d.allowancePerS", i), 0),
+		})
+	}
+	if p.err != nil {
+		return nil, fmt.Errorf("settings: %w", p.err)
+	}
+	return d, nil
+}
+
+func (p *pairs) classes(d *Deployment) {
+	s := d.Decide
+	n := int(p.atLeast("requestClasses.count", 1))
+	perK, token := p.numbers("familyInfo.aimUsPer1000PromptTokens"), p.numbers("familyInfo.tokenAimNs")
+	for i := 0; i < n && p.err == nil; i++ {
+		at := func(key string) string { return fmt.Sprintf("requestClasses.%d.%s", i, key) }
+		c := decide.Class{
+			Aim: p.time(at("aimNs")), Deadline: p.time(at("deadlineNs")),
+			Worth: p.optional(at("value"), 1), LateWorth: p.optional(at("lateWorth"), 0),
+			Window: decide.Duration(p.optional(at("windowNs"), 0)),
+		}
+		if i < len(perK) {
+			c.AimPerK = decide.Duration(perK[i] * 1000)
+		}
+		if i < len(token) {
+			c.TokenAim = decide.Duration(token[i])
+		}
+		switch v := p.values[at("repeat")]; v {
+		case "safe":
+		case "keyed":
+			c.Repeat = decide.Keyed
+		case "unsafe":
+			c.Repeat = decide.Unsafe
+		default:
+			p.fail(at("repeat"), v)
+		}
+		switch v := p.values[at("keyScope")]; v {
+		case "all":
+		case "zone":
+			c.Scope = decide.ScopeZone
+		case "cell":
+			c.Scope = decide.ScopeCell
+		default:
+			if c.Repeat == decide.Keyed {
+				p.fail(at("keyScope"), v)
+			}
+		}
+		s.Classes = append(s.Classes, c)
+		d.Classes = append(d.Classes, p.values[at("name")])
+	}
+}
+
+func (p *pairs) kinds(s *decide.Settings) {
+	memory := p.numbers("familyInfo.tokensByKind")
+	roles := p.list("familyInfo.kindRole")
+	if len(roles) == 0 {
+		p.fail("familyInfo.kindRole", "")
+	}
+	for i, role := range roles {
+		var k decide.Kind
+		switch role {
+		case "read":
+			k.Role = decide.Reader
+		case "write":
+			k.Role = decide.Writer
+		case "both":
+			k.Role = decide.Both
+		default:
+			p.fail("familyInfo.kindRole", role)
+		}
+		if i < len(memory) {
+			k.Memory = memory[i]
+		}
+		s.Kinds = append(s.Kinds, k)
+	}
+}
+
+func (p *pairs) fail(path, value string) {
+	if p.err != nil {
+		return
+	}
+	if _, ok := p.values[path]; !ok {
+		p.err = fmt.Errorf("%s is missing", path)
+		return
+	}
+	p.err = fmt.Errorf("%s has the malformed value %q", path, value)
+}
+
+// optional returns a number, or def where the key is absent.
+func (p *pairs) optional(path string, def float64) float64 {
+	v, ok := p.values[path]
+	if !ok {
+		return def
+	}
+	f, err := strconv.ParseFloat(v, 64)
+	if err != nil || math.IsNaN(f) || math.IsInf(f, 0) {
+		p.fail(path, v)
+	}
+	return f
+}
+
+// atLeast returns a number that must be there and be no less than low.
+func (p *pairs) atLeast(path string, low float64) float64 {
+	f := p.optional(path, math.Inf(-1))
+	if f < low {
+		p.fail(path, p.values[path])
+	}
+	return f
+}
+
+func (p *pairs) time(path string) decide.Duration { return decide.Duration(p.atLeast(path, 0)) }
+
+func (p *pairs) flag(path string) bool {
+	v, ok := p.values[path]
+	if ok && v != "true" && v != "false" {
+		p.fail(path, v)
+	}
+	return v == "true"
+}
+
+func (p *pairs) list(path string) []string {
+	if p.values[path] == "" {
+		return nil
+	}
+	return strings.Split(p.values[path], ",")
+}
+
+func (p *pairs) numbers(path string) []float64 {
+	var out []float64
+	for _, v := range p.list(path) {
+		f, err := strconv.ParseFloat(v, 64)
+		if err != nil || math.IsNaN(f) || math.IsInf(f, 0) {
+			p.fail(path, p.values[path])
+			return nil
+		}
+		out = append(out, f)
+	}
+	return out
+}
+
+// Report makes a load report of named values; a value that is missing or out of range counts as not told.
+func Report(value func(name string) (float64, bool)) decide.Report {
+	get := func(names ...string) float64 {
+		for _, name := range names {
+			if f, ok := value(name); ok && f >= 0 && f < 1e12 { // not NaN
+				return f
+			}
+		}
+		return -1
+	}
+	return decide.Report{MemoryShare: get("x0"), WaitingK: get("x1"), Latency: get("lat_ms", "latency_ms")}
+}
--- a/internal/simwire/decode.go
+++ b/internal/simwire/decode.go
@@ -11,6 +11,7 @@
 	"math"
 
 	"mintdoor/decide"
+	"mintdoor/internal/settings"
 )
 
 // The codes of the events.
@@ -316,25 +317,18 @@
 
 // report reads n values; those that the settings do not name are passed over.
 func (d *Decoder) report(n byte, rep *decide.Report) error {
-	*rep = decide.Report{MemoryShare: -1, WaitingK: -1, Latency: -1}
 	b, err := d.need(4*int(n), "load report")
 	if err != nil {
 		return err
 	}
-	for i := 0; i < int(n) && i < len(d.fields); i++ {
-		v := float(b[4*i:])
-		if math.IsNaN(v) || math.IsInf(v, 0) || v < 0 {
-			continue
+	*rep = settings.Report(func(name string) (float64, bool) {
+		for i := 0; i < int(n) && i < len(d.fields); i++ {
+			if d.fields[i] == name {
+				return float(b[4*i:]), true
+			}
 		}
-		switch d.fields[i] {
-		case "x0":
-			rep.MemoryShare = v
-		case "x1":
-			rep.WaitingK = v
-		case "lat_ms":
-			rep.Latency = v
-		}
-	}
+		return 0, false
+	})
 	return nil
 }
 
