--- /dev/null
+++ b/internal/http1/http1_test.go
@@ -0,0 +1,124 @@
+package http1
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"strings"
+	"testing"
+)
+
+func reader(s string) *bufio.Reader { return bufio.NewReaderSize(strings.NewReader(s), 256) }
+
+func TestReadHead(t *testing.T) {
+	long := strings.Repeat("x", 300)
+	for _, c := range []struct {
+		name, in string
+		want     error
+	}{
+		{"whole", "GET / HTTP/1.1\r\nHost: a\r\nX-Y:  b c \r\n\r\n", nil},
+		{"bare line ends", "GET / HTTP/1.1\nHost: a\nX-Y: b c\n\n", nil},
+		{"empty lines in front", "\r\n\r\nGET / HTTP/1.1\r\nHost: a\r\nX-Y: b c\r\n\r\n", nil},
+		{"nothing", "", io.EOF},
+		{"only empty lines", "\r\n\r\n\r\n\r\n", ErrMalformed},
+		{"cut off", "GET / HTTP/1.1\r\nHost: a\r\n", io.ErrUnexpectedEOF},
+		{"cut off in a line", "GET / HT", io.ErrUnexpectedEOF},
+		{"no colon", "GET / HTTP/1.1\r\nHost\r\n\r\n", ErrMalformed},
+		{"space before the colon", "GET / HTTP/1.1\r\nHost : a\r\n\r\n", ErrMalformed},
+		{"folded", "GET / HTTP/1.1\r\nHost: a\r\n b\r\n\r\n", ErrMalformed},
+		{"control character", "GET / HTTP/1.1\r\nHost: a\x00b\r\n\r\n", ErrMalformed},
+		{"noise", "\x16\x03\x01\x02\r\n\r\n", ErrMalformed},
+		{"a line over the buffer", "GET /" + long + " HTTP/1.1\r\n\r\n", ErrTooLarge},
+		{"over the limit", "GET / HTTP/1.1\r\n" + strings.Repeat("X-A: "+strings.Repeat("y", 100)+"\r\n", 20) + "\r\n", ErrTooLarge},
+		{"too many fields", "GET / HTTP/1.1\r\n" + strings.Repeat("a:\r\n", maxFields+1) + "\r\n", ErrTooLarge},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			h, err := ReadHead(reader(c.in), 1000)
+			if !errors.Is(err, c.want) {
+				t.Fatalf("%v, want %v", err, c.want)
+			}
+			if err != nil {
+				return
+			}
+			if v, n := h.Get("x-y"); v != "b c" || n != 1 || h.Line != "GET / HTTP/1.1" {
+				t.Errorf("%+v", h)
+			}
+		})
+	}
+}
+
+func TestStartLines(t *testing.T) {
+	for line, ok := range map[string]bool{
+		"POST /v1?x=y HTTP/1.1": true, "GET / HTTP/1.0": true, "GET / HTTP/2.0": false, "GET  / HTTP/1.1": false,
+		"GET http://a/ HTTP/1.1": false, "GET /": false, "G T / HTTP/1.1": false, "GET / a HTTP/1.1": false,
+	} {
+		if _, _, _, err := (&Head{Line: line}).Request(); (err == nil) != ok {
+			t.Errorf("%q: %v", line, err)
+		}
+	}
+	for line, want := range map[string]int{"HTTP/1.1 200 OK": 200, "HTTP/1.1 204": 204, "HTTP/1.1 20": 0,
+		"HTTP/1.1 999 x": 0, "HTTP/3 200 OK": 0, "noise": 0, "HTTP/1.1 +20 x": 0} {
+		if n, err := (&Head{Line: line}).Status(); n != want || (err == nil) != (want > 0) {
+			t.Errorf("%q: %d, %v", line, n, err)
+		}
+	}
+}
+
+func TestFraming(t *testing.T) {
+	for _, c := range []struct {
+		head    string
+		length  int64
+		chunked bool
+		want    error
+	}{
+		{"", Untold, false, nil},
+		{"Content-Length: 5\r\n", 5, false, nil},
+		{"Transfer-Encoding: Chunked\r\n", Untold, true, nil},
+		{"Content-Length: 5\r\nTransfer-Encoding: chunked\r\n", 0, false, ErrMalformed},
+		{"Transfer-Encoding: chunked\r\nContent-Length: 0\r\n", 0, false, ErrMalformed},
+		{"Content-Length: 5\r\nContent-Length: 5\r\n", 0, false, ErrMalformed},
+		{"Content-Length: 5, 5\r\n", 0, false, ErrMalformed},
+		{"Content-Length: -5\r\n", 0, false, ErrMalformed},
+		{"Content-Length: +5\r\n", 0, false, ErrMalformed},
+		{"Content-Length: 0x5\r\n", 0, false, ErrMalformed},
+		{"Content-Length:\r\n", 0, false, ErrMalformed},
+		{"Content-Length: 99999999999999999999\r\n", 0, false, ErrTooLarge},
+		{"Transfer-Encoding: gzip, chunked\r\n", 0, false, ErrMalformed},
+		{"Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n", 0, false, ErrMalformed},
+	} {
+		h, err := ReadHead(reader("GET / HTTP/1.1\r\n"+c.head+"\r\n"), 1000)
+		if err != nil {
+			t.Fatal(err)
+		}
+		n, chunked, err := h.Framing()
+		if n != c.length || chunked != c.chunked || !errors.Is(err, c.want) {
+			t.Errorf("%q: %d %v %v", c.head, n, chunked, err)
+		}
+	}
+}
+
+func TestChunks(t *testing.T) {
+	for _, c := range []struct {
+		name, in, out string
+		want          error
+	}{
+		{"whole", "3\r\nabc\r\n02;x=y\r\nde\r\n0\r\nT: v\r\n\r\n", "abcde", nil},
+		{"no last chunk", "3\r\nabc\r\n", "abc", io.ErrUnexpectedEOF},
+		{"cut off in a chunk", "5\r\nabc", "abc", io.ErrUnexpectedEOF},
+		{"cut off in the trailer", "0\r\n", "", io.ErrUnexpectedEOF},
+		{"size is noise", "3\r\nabc\r\nzz\r\n", "abc", ErrMalformed},
+		{"size is negative", "-3\r\nabc\r\n", "", ErrMalformed},
+		{"size is empty", "\r\nabc\r\n", "", ErrMalformed},
+		{"size is huge", "C0000000\r\nabc", "", ErrTooLarge},
+		{"size is beyond any", "fffffffffffffffffff\r\nabc", "", ErrTooLarge},
+		{"longer than it says", "2\r\nabc\r\n0\r\n\r\n", "ab", ErrMalformed},
+		{"trailer without end", "0\r\n" + strings.Repeat("a: b\r\n", maxFields+1), "", ErrTooLarge},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			got, err := io.ReadAll(NewChunks(reader(c.in), 100))
+			if string(got) != c.out || !errors.Is(err, c.want) {
+				t.Errorf("%q, %v; want %q, %v", got, err, c.out, c.want)
+			}
+		})
+	}
+}
