A stream that has stopped is given up within 4 s; tests of the platform's front, client, list

At fault: streamIdle of 30 s in internal/node. Also: what daemon and node share is internal/assembly; the module's books can be looked at and are compared with the sockets in a test.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -9,6 +9,7 @@
 	"net"
 	"time"
 
+	"mintdoor/internal/assembly"
 	"mintdoor/internal/config"
 	"mintdoor/internal/discovery"
 	"mintdoor/internal/engine"
@@ -17,8 +18,6 @@
 	"mintdoor/internal/router"
 	"mintdoor/internal/shift"
 	"mintdoor/internal/trace"
-
-	"golang.org/x/sync/errgroup"
 )
 
 // Version is the program's.
@@ -38,7 +37,7 @@
 	recorder *trace.Recorder // nil: nothing is recorded
 	listener net.Listener
 	control  net.Listener // nil: none
-	drain    chan struct{}
+	parts    *assembly.Parts
 }
 
 // New listens and puts the parts together; Run starts them. source may be nil: the settings' list file.
@@ -54,7 +53,7 @@
 	if source == nil {
 		source = &discovery.File{Path: set.List, Every: set.ListEvery, Kinds: kinds}
 	}
-	d := &Daemon{set: set, log: log, source: source, listener: listener, drain: make(chan struct{}, 1)}
+	d := &Daemon{set: set, log: log, source: source, listener: listener}
 	d.engines = engine.New(engine.Options{DialTimeout: set.DialTimeout, ConnIdle: set.ConnIdle,
 		MaxConns: set.EngineConns, StreamIdle: set.StreamIdle, ReleaseWithin: set.ReleaseWithin,
 		ProbeWithin: set.ProbeWithin})
@@ -86,6 +85,16 @@
 		}
 	}
 	d.front = rest.New(set, d.Router, log, Version)
+	parts := assembly.Parts{Router: d.Router, Source: d.source, Log: log, Drain: d.finish,
+		// Answers that the router gives at its end still have to reach their clients.
+		Serve: func(ctx context.Context) error { return d.front.Serve(ctx, d.listener, set.DrainLimit+settle) }}
+	if d.recorder != nil {
+		parts.Others = append(parts.Others, d.recorder.Run)
+	}
+	if d.control != nil {
+		parts.Others = append(parts.Others, d.serveControl)
+	}
+	d.parts = assembly.New(parts)
 	return d, nil
 }
 
@@ -96,60 +105,27 @@
 func (d *Daemon) Addr() string { return d.listener.Addr().String() }
 
 // Drain stops taking requests; Run returns when those that are open have ended, or their time is over.
-func (d *Daemon) Drain() {
-	select {
-	case d.drain <- struct{}{}:
-	default:
-	}
-}
+func (d *Daemon) Drain() { d.parts.Ask() }
 
 // Run runs until ctx ends, which answers what is open at once, or until Drain has done its work.
 func (d *Daemon) Run(ctx context.Context) error {
-	ctx, stop := context.WithCancel(ctx)
-	defer stop()
 	defer d.engines.Close()
-	g, ctx := errgroup.WithContext(ctx)
-	serving, unlisten := context.WithCancel(ctx)
-	defer unlisten()
-	g.Go(func() error { return d.source.Run(ctx, d.Router.Update) })
-	g.Go(func() error {
-		defer stop() // nothing else has a use without it
-		return d.Router.Run(ctx)
-	})
-	g.Go(func() error {
-		// Answers that the router gives at its end still have to reach their clients.
-		return d.front.Serve(serving, d.listener, d.set.DrainLimit+settle)
-	})
-	if d.recorder != nil {
-		g.Go(func() error { return d.recorder.Run(ctx) })
-	}
-	if d.control != nil {
-		g.Go(func() error { return d.serveControl(ctx) })
-	}
-	g.Go(func() error {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-d.drain:
-		}
-		d.log.Info("draining", "open", d.Router.Stats().Open, "within", d.set.DrainLimit)
-		d.Router.Drain()
-		unlisten()
-		t := time.NewTimer(d.set.DrainLimit)
-		defer t.Stop()
-		select {
-		case <-d.Router.Stopped():
-		case <-t.C:
-			d.log.Warn("time to drain is over", "open", d.Router.Stats().Open)
-			stop()
-		case <-ctx.Done():
-		}
-		return nil
-	})
 	d.log.Info("router up", "name", d.Router.Name(), "listen", d.Addr(), "model", d.set.Model)
-	err := g.Wait()
-	s := d.Router.Stats()
-	d.log.Info("router down", "name", d.Router.Name(), "served", s.Served, "refused", s.Refused, "failed", s.Failed,
-		"gone", s.Gone)
-	return err
+	return d.parts.Run(ctx)
+}
+
+// finish takes no more requests and waits for those that are open, as long as the settings let it.
+func (d *Daemon) finish(ctx context.Context, unlisten, stop func()) {
+	d.log.Info("draining", "open", d.Router.Stats().Open, "within", d.set.DrainLimit)
+	d.Router.Drain()
+	unlisten()
+	t := time.NewTimer(d.set.DrainLimit)
+	defer t.Stop()
+	select {
+	case <-d.Router.Stopped():
+	case <-t.C:
+		d.log.Warn("time to drain is over", "open", d.Router.Stats().Open)
+		stop()
+	case <-ctx.Done():
+	}
 }
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -47,7 +47,7 @@
 // The limits hold when the file names none, and no less than the least is believed.
 const (
 	defaultMemory, leastMemory   = 192, 24
-	defaultSockets, leastSockets = 1024, 128
+	defaultSockets, leastSockets = 1024, 256
 	maxConfig                    = 16 << 20
 )
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -12,13 +12,13 @@
 	"runtime/debug"
 	"time"
 
+	"mintdoor/decide"
+	"mintdoor/internal/assembly"
 	"mintdoor/internal/discovery"
 	"mintdoor/internal/discovery/watch"
 	engines "mintdoor/internal/engine/chat"
 	front "mintdoor/internal/front/chat"
 	"mintdoor/internal/router"
-
-	"golang.org/x/sync/errgroup"
 )
 
 // Node is a router on the platform.
@@ -31,7 +31,7 @@
 	engines  *engines.Client
 	front    *front.Front
 	listener net.Listener
-	drain    chan struct{}
+	parts    *assembly.Parts
 }
 
 // Times of the transport; every time that decides something is the module's.
@@ -39,8 +39,8 @@
 	requestWithin = 2 * time.Second // a client's message; bad clients are owed a word within 3 s
 	clientIdle    = 6 * time.Second
 	clientStall   = 5 * time.Second
-	streamIdle    = 30 * time.Second // silent engines hold no descriptors for ever
-	idleMargin    = 3                // of this many parts of the engines' idle time one is left unused
+	streamIdle    = 4 * time.Second // a client may be left to wait for 5 s on a stream that has stopped (PROTOCOL)
+	idleMargin    = 3               // of this many parts of the engines' idle time one is left unused
 	streamParts   = 64
 	settle        = 2 * time.Second
 	// arrivals is how long after SIGTERM new connections keep coming; a connection in the kernel's queue
@@ -63,14 +63,18 @@
 }
 
 // New listens and puts the parts together; Run starts them.
-func New(cfg *Config, log *slog.Logger) (*Node, error) {
+func New(cfg *Config, log *slog.Logger) (*Node, error) { return newNode(cfg, log, nil) }
+
+// newNode is New with another module; nil: the module.
+func newNode(cfg *Config, log *slog.Logger,
+	decider func(*decide.Settings, uint64, decide.Time) router.Decider) (*Node, error) {
 	listener, err := net.Listen("tcp", cfg.Listen)
 	if err != nil {
 		return nil, fmt.Errorf("front: %w", err)
 	}
 	set := cfg.Settings
 	b := share(cfg.Sockets)
-	n := &Node{cfg: cfg, log: log, listener: listener, drain: make(chan struct{}, 1)}
+	n := &Node{cfg: cfg, log: log, listener: listener}
 	n.source = watch.New(cfg.Discovery, set.Kinds, cfg.Known, log)
 	connIdle := time.Duration(set.ConnIdle)
 	n.engines = engines.New(engines.Options{DialTimeout: time.Duration(set.Decide.DialTimeout),
@@ -83,10 +87,14 @@
 	set.Decide.Zone = discovery.Number(zone) // as the list's zones are numbered
 	n.Router = router.New(router.Config{Name: cfg.Name, Settings: set.Decide, Kinds: set.Kinds, Engines: n.engines,
 		Holds: router.ByRequest, Seed: cfg.Seed, Log: log, MaxOpen: b.open, StreamParts: streamParts,
+		NewDecider:  decider,
 		ClientStall: clientStall, Settle: settle})
 	n.front = front.New(front.Options{Classes: set.Classes, RetryAfter: set.RetryAfter, MaxConns: b.clients,
 		BodyBytes: int64(cfg.MemoryMB * (1 << 20) / 5), Within: requestWithin, Idle: clientIdle, Stall: clientStall,
 		Log: log}, n.Router)
+	n.parts = assembly.New(assembly.Parts{Router: n.Router, Source: n.source, Log: log, Drain: n.finish,
+		Serve:  func(ctx context.Context) error { return n.front.Serve(ctx, n.listener) },
+		Others: []func(context.Context) error{n.engines.Run}})
 	return n, nil
 }
 
@@ -101,12 +109,7 @@
 
 // Drain lets clients go elsewhere: what comes is still answered, each on the last use of its connection, and
 // Run returns when nothing is open any more.
-func (n *Node) Drain() {
-	select {
-	case n.drain <- struct{}{}:
-	default:
-	}
-}
+func (n *Node) Drain() { n.parts.Ask() }
 
 // Reload reads the configuration anew. Only discovery can move while a router runs; with an error all stays
 // as it is.
@@ -121,45 +124,24 @@
 
 // Run runs until ctx ends, which answers what is open at once, or until Drain has done its work.
 func (n *Node) Run(ctx context.Context) error {
-	ctx, stop := context.WithCancel(ctx)
-	defer stop()
-	g, ctx := errgroup.WithContext(ctx)
-	serving, unlisten := context.WithCancel(ctx)
-	defer unlisten()
-	g.Go(func() error { return n.source.Run(ctx, n.Router.Update) })
-	g.Go(func() error { return n.engines.Run(ctx) })
-	g.Go(func() error {
-		defer stop()
-		return n.Router.Run(ctx)
-	})
-	g.Go(func() error { return n.front.Serve(serving, n.listener) })
-	g.Go(func() error {
+	n.log.Info("router up", "name", n.Router.Name(), "listen", n.Addr(), "sockets", n.cfg.Sockets,
+		"memory_mb", n.cfg.MemoryMB)
+	return n.parts.Run(ctx)
+}
+
+// finish answers what is open and what still comes, each on the last use of its connection.
+func (n *Node) finish(ctx context.Context, unlisten, _ func()) {
+	n.log.Info("draining", "open", n.Router.Stats().Open, "connections", n.front.Conns())
+	look := time.NewTicker(arrivals / 20)
+	defer look.Stop()
+	for until := time.Now().Add(arrivals); time.Now().Before(until) || n.front.Conns() > 0; {
+		n.front.Last() // also those that became idle meanwhile
 		select {
 		case <-ctx.Done():
-			return nil
-		case <-n.drain:
-		}
-		n.log.Info("draining", "open", n.Router.Stats().Open, "connections", n.front.Conns())
-		n.front.Last()
-		look := time.NewTicker(arrivals / 20)
-		defer look.Stop()
-		for until := time.Now().Add(arrivals); time.Now().Before(until) || n.front.Conns() > 0; {
-			select {
-			case <-ctx.Done():
-				return nil
-			case <-look.C:
-				n.front.Last() // those that became idle meanwhile
-			}
+			return
+		case <-look.C:
 		}
-		unlisten()
-		n.Router.Drain()
-		return nil
-	})
-	n.log.Info("router up", "name", n.Router.Name(), "listen", n.Addr(), "sockets", n.cfg.Sockets,
-		"memory_mb", n.cfg.MemoryMB)
-	err := g.Wait()
-	s := n.Router.Stats()
-	n.log.Info("router down", "name", n.Router.Name(), "served", s.Served, "refused", s.Refused, "failed", s.Failed,
-		"gone", s.Gone)
-	return err
+	}
+	unlisten()
+	n.Router.Drain()
 }
--- /dev/null
+++ b/internal/node/node_test.go
@@ -0,0 +1,408 @@
+package node
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"mintdoor/decide"
+	"mintdoor/internal/discovery"
+	"mintdoor/internal/discovery/watch"
+	"mintdoor/internal/router"
+
+	"go.uber.org/goleak"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// platform is engines and discovery as the platform has them, on loopback.
+type platform struct {
+	*httptest.Server // engines; which one is meant shows in the address
+	agent            *httptest.Server
+	gate             chan bool // a writer waits for it before its first event
+
+	mu     sync.Mutex
+	out    map[string]int             // by engine: requests that are open there
+	holds  map[string]map[string]bool // by engine: states that wait
+	reads  int
+	asked  int // of discovery
+	listed []watch.Member
+}
+
+const (
+	reader = "127.0.0.1"
+	writer = "127.0.0.2"
+)
+
+func newPlatform(t *testing.T) *platform {
+	p := &platform{out: map[string]int{}, holds: map[string]map[string]bool{reader: {}, writer: {}}, gate: make(chan bool, 1000)}
+	l, err := net.Listen("tcp", "0.0.0.0:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	p.Server = httptest.NewUnstartedServer(http.HandlerFunc(p.serve))
+	p.Server.Listener.Close()
+	p.Server.Listener = l
+	p.Server.Start()
+	_, port, _ := net.SplitHostPort(l.Addr().String())
+	p.listed = []watch.Member{
+		{ID: "s1", Addr: reader + ":" + port, Zone: "a", Kind: "prefill", Cell: 1, Phase: watch.Up, Size: 1},
+		{ID: "s2", Addr: writer + ":" + port, Zone: "a", Kind: "decode", Cell: 1, Phase: watch.Up, Size: 1},
+	}
+	p.agent = p.newAgent()
+	t.Cleanup(func() { p.CloseClientConnections(); p.Close(); p.agent.CloseClientConnections(); p.agent.Close() })
+	return p
+}
+
+func (p *platform) newAgent() *httptest.Server {
+	return httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		p.mu.Lock()
+		p.asked++
+		p.mu.Unlock()
+		if r.URL.RawQuery != "" { // nothing changes
+			<-r.Context().Done()
+			return
+		}
+		json.NewEncoder(w).Encode(watch.List{Revision: 1, Complete: true, Members: p.listed})
+	}))
+}
+
+func (p *platform) serve(w http.ResponseWriter, r *http.Request) {
+	host, _, _ := net.SplitHostPort(r.Context().Value(http.LocalAddrContextKey).(net.Addr).String())
+	id := r.Header.Get("X-Correlation-Id")
+	switch {
+	case r.Method == http.MethodDelete:
+		p.mu.Lock()
+		for _, h := range p.holds {
+			delete(h, strings.TrimPrefix(r.URL.Path, "/v1/holds/"))
+		}
+		p.mu.Unlock()
+		w.WriteHeader(204)
+		return
+	case r.URL.Path == "/metrics/load":
+		fmt.Fprint(w, `{"lat_ms":5,"x0":0.25,"x1":0}`)
+		return
+	}
+	io.Copy(io.Discard, r.Body)
+	p.count(host, 1)
+	defer p.count(host, -1)
+	if host == reader {
+		p.mu.Lock()
+		p.reads++
+		p.holds[reader][id] = true
+		p.mu.Unlock()
+		w.WriteHeader(202)
+		fmt.Fprint(w, `{"cached_tokens":0}`)
+		return
+	}
+	select {
+	case <-p.gate:
+	case <-r.Context().Done():
+		return
+	}
+	p.mu.Lock()
+	delete(p.holds[reader], id)
+	p.mu.Unlock()
+	w.Header().Set("Content-Type", "text/event-stream")
+	for _, e := range []string{`{"choices":[]}`, "[DONE]"} {
+		fmt.Fprintf(w, "data: %s\n\n", e)
+		w.(http.Flusher).Flush()
+	}
+}
+
+func (p *platform) count(host string, n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.out[host] += n
+}
+
+func (p *platform) open(host string) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.out[host]
+}
+
+func (p *platform) held() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.holds[reader])
+}
+
+const settingsJSON = `{"instances":1,"index":0,"zone":0,"dcs":["a"],"hostTypes":["prefill","decode"],
+ "membershipMode":"push","feedback":{"how":"pull","names":["lat_ms","x0","x1"]},
+ "familyInfo":{"letGoByNs":1000000000,"kindRole":["read","write"],"tokensByKind":[277530,138916],"tokenAimNs":[60000000],"aimUsPer1000PromptTokens":[40000]},
+ "fees":{"probe":0.0026},
+ "obligations":{"graceToAnswerNs":16000000,"drainGraceNs":1000000000,"fallMultiple":2.5,"overloadForNs":1000000000,"startCapacity":0.27,"coldNs":14000000000},
+ "permissions":{"probing":true,"mayCancel":true,"maxAttempts":6,"dialTimeoutNs":250000000,"retryAfter":true,"maxRetryAfterNs":500000000,"connIdleNs":15000000000},
+ "requestClasses":[{"name":"price-ask","aimNs":1200000000,"deadlineNs":30000000000,"value":1,"repeat":"safe"}]}`
+
+func configJSON(discovery string) string {
+	return fmt.Sprintf(`{"name":"n3","listen":"127.0.0.1:0","discovery":%q,"seed":"8c1f30d27a5be964",
+ "limits":{"cores":1.0,"memory_mb":2048,"sockets":256},"known":{"revision":0,"complete":true,"members":[]},"settings":%s}`,
+		discovery, settingsJSON)
+}
+
+func none(string) string { return "" }
+
+// spy lets a test look into the module's books.
+type spy struct {
+	mu    sync.Mutex
+	inner *decide.Router
+}
+
+func (s *spy) Handle(now decide.Time, ev *decide.Event, out []decide.Action) []decide.Action {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.inner.Handle(now, ev, out)
+}
+
+func (s *spy) books(name string) decide.Book {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e := discovery.Engine{Name: name}
+	for _, b := range s.inner.Books() {
+		if b.Server == e.ID() {
+			return b
+		}
+	}
+	return decide.Book{}
+}
+
+type world struct {
+	*platform
+	t    *testing.T
+	node *Node
+	spy  *spy
+	done chan error
+	stop context.CancelFunc
+}
+
+func start(t *testing.T) *world {
+	p := newPlatform(t)
+	cfg, err := parse([]byte(configJSON(p.agent.Listener.Addr().String())), none)
+	if err != nil {
+		t.Fatal(err)
+	}
+	w := &world{platform: p, t: t, spy: &spy{}, done: make(chan error, 1)}
+	w.node, err = newNode(cfg, slog.New(slog.DiscardHandler), func(set *decide.Settings, seed uint64, now decide.Time) router.Decider {
+		w.spy.inner = decide.New(set, seed, now)
+		return w.spy
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	w.stop = stop
+	go func() { w.done <- w.node.Run(ctx); close(w.done) }()
+	t.Cleanup(func() {
+		stop()
+		for range w.done {
+		}
+	})
+	w.eventually("ready", w.node.Router.Ready)
+	return w
+}
+
+func (w *world) eventually(what string, ok func() bool) {
+	w.t.Helper()
+	for deadline := time.Now().Add(20 * time.Second); !ok(); time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			w.t.Fatalf("never: %s", what)
+		}
+	}
+}
+
+type client struct {
+	net.Conn
+	br *bufio.Reader
+}
+
+func (w *world) dial() *client {
+	w.t.Helper()
+	c, err := net.Dial("tcp", w.node.Addr())
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	w.t.Cleanup(func() { c.Close() })
+	c.SetDeadline(time.Now().Add(30 * time.Second))
+	return &client{c, bufio.NewReader(c)}
+}
+
+func (c *client) ask(id string) {
+	const body = `{"model":"chat"}`
+	fmt.Fprintf(c, "POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\nX-Correlation-Id: %s\r\nX-Service-Class: price-ask\r\n"+
+		"X-Time-Left-Ms: 20000\r\nX-Facts: prompt_len=1000\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
+}
+
+func (c *client) answer(t *testing.T) (int, bool) {
+	t.Helper()
+	resp, err := http.ReadResponse(c.br, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	io.Copy(io.Discard, resp.Body)
+	return resp.StatusCode, resp.Close
+}
+
+// What the module's books say of each engine is what is open on its sockets: while requests wait at a writer,
+// after they were served, and after their clients left.
+func TestBooksAgainstSockets(t *testing.T) {
+	w := start(t)
+	var clients []*client
+	for i := range 5 {
+		c := w.dial()
+		c.ask(fmt.Sprint("id", i))
+		clients = append(clients, c)
+	}
+	w.eventually("five are at the writer", func() bool { return w.open(writer) == 5 })
+	agree := func(what string, streams int, booked float64) {
+		t.Helper()
+		w.eventually(what, func() bool {
+			r, d := w.spy.books("s1"), w.spy.books("s2")
+			return d.Streams == streams && d.Streams == w.open(writer) && d.Booked == booked &&
+				r.Pending == 0 && r.Pending == w.open(reader) && r.Waiting == 0
+		})
+	}
+	agree("five in the books", 5, 5000)
+	if n := w.held(); n != 5 {
+		t.Errorf("%d states wait", n)
+	}
+	for range 3 {
+		w.gate <- true
+	}
+	agree("two are left", 2, 2000)
+	for _, c := range clients {
+		c.Close()
+	}
+	agree("none is left", 0, 0)
+	w.eventually("nothing is held", func() bool { return w.held() == 0 && w.node.Router.Stats().Open == 0 })
+	w.eventually("probed", func() bool { return w.spy.books("s2").Share == 0.25 })
+}
+
+// SIGTERM: what is open and what still comes is answered, then the program ends by itself.
+func TestDrain(t *testing.T) {
+	w := start(t)
+	open, idle, fresh := w.dial(), w.dial(), w.dial()
+	w.gate <- true
+	idle.ask("a")
+	if code, closes := idle.answer(t); code != 200 || closes {
+		t.Fatal(code, closes)
+	}
+	open.ask("b")
+	w.eventually("one is open", func() bool { return w.open(writer) == 1 })
+	w.eventually("all are there", func() bool { return w.node.front.Conns() == 3 })
+	w.node.Drain()
+	if _, err := idle.br.ReadByte(); err != io.EOF {
+		t.Errorf("a connection between requests: %v", err)
+	}
+	fresh.ask("c")
+	late := w.dial()
+	late.ask("d")
+	w.eventually("three are open", func() bool { return w.open(writer) == 3 })
+	for range 3 {
+		w.gate <- true
+	}
+	for _, c := range []*client{open, fresh, late} {
+		if code, _ := c.answer(t); code != 200 {
+			t.Errorf("status %d", code)
+		}
+		if _, err := c.br.ReadByte(); err != io.EOF {
+			t.Errorf("after the answer: %v", err)
+		}
+	}
+	if err := <-w.done; err != nil {
+		t.Error(err)
+	}
+	if w.held() != 0 {
+		t.Error("a state is left")
+	}
+}
+
+// SIGHUP: discovery moves; a file that is missing or malformed changes nothing. No request is lost by either.
+func TestReload(t *testing.T) {
+	w := start(t)
+	path := filepath.Join(t.TempDir(), "config.json")
+	t.Setenv(EnvConfig, path)
+	c := w.dial()
+	c.ask("a")
+	w.eventually("open", func() bool { return w.open(writer) == 1 })
+	w.node.Reload() // there is no file
+	if err := os.WriteFile(path, []byte(`{"name":`), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	w.node.Reload()
+	other := w.newAgent()
+	defer other.Close()
+	if err := os.WriteFile(path, []byte(configJSON(other.Listener.Addr().String())), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	w.mu.Lock()
+	before := w.asked
+	w.mu.Unlock()
+	w.agent.CloseClientConnections()
+	w.node.Reload()
+	w.eventually("the other is asked", func() bool {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		return w.asked > before
+	})
+	w.gate <- true
+	if code, closes := c.answer(t); code != 200 || closes {
+		t.Errorf("%d %v", code, closes)
+	}
+	w.stop()
+	<-w.done
+	other.CloseClientConnections()
+}
+
+func TestConfig(t *testing.T) {
+	good := configJSON("d:1")
+	c, err := parse([]byte(good), none)
+	if err != nil || c.Name != "n3" || c.Discovery != "d:1" || c.Seed != 0x8c1f30d27a5be964 || c.Sockets != 256 || c.MemoryMB != 2048 {
+		t.Fatalf("%+v %v", c, err)
+	}
+	for _, v := range []struct{ old, new, want string }{
+		{`"name":"n3"`, `"name":""`, "name is missing, and the variable PROXY_NAME is not set"},
+		{`"listen":"127.0.0.1:0",`, ``, "listen is missing, and the variable PROXY_LISTEN is not set"},
+		{`"discovery":"d:1",`, ``, "PROXY_DISCOVERY"},
+		{`8c1f30d27a5be964`, `none`, "seed has the malformed value"},
+		{`"sockets":256`, `"sockets":3`, "limits.sockets"},
+		{`"memory_mb":2048`, `"memory_mb":-1`, "limits.memory_mb"},
+		{`"maxAttempts":6,`, ``, "permissions.maxAttempts is missing"},
+		{`{"name"`, `{{"name"`, "invalid character"},
+	} {
+		if _, err := parse([]byte(strings.Replace(good, v.old, v.new, 1)), none); err == nil || !strings.Contains(err.Error(), v.want) {
+			t.Errorf("%s: %v", v.new, err)
+		}
+	}
+	if _, err := Load(none); err == nil || !strings.Contains(err.Error(), EnvConfig) {
+		t.Errorf("%v", err)
+	}
+	env := map[string]string{EnvName: "n9"}
+	if c, err := parse([]byte(strings.Replace(good, `"name":"n3",`, "", 1)), func(k string) string { return env[k] }); err != nil || c.Name != "n9" {
+		t.Errorf("%v", err)
+	}
+}
+
+// A third of the descriptors may hold requests; each needs an engine's connection, and no part is ever empty.
+func TestShare(t *testing.T) {
+	for _, sockets := range []int{leastSockets, 256, 512, 768, 1024, 4096} {
+		b := share(sockets)
+		if b.clients+b.engines+b.spare > sockets-16 || b.open < sockets/3 || b.clients < sockets/3+sockets/16 ||
+			b.engines <= b.open || b.spare < 6 {
+			t.Errorf("%d: %+v", sockets, b)
+		}
+	}
+}
