A request's last byte is held back until its connection has proved to stand

Checked: 85% of these resets come within 0.51 ms of the send, so the connection was dead or was closed while the request came, but all of it was in the kernel by then (net.Buffers.WriteTo in engine/chat start). Change: the last byte goes 2 ms after the rest; what breaks before it has brought no request and may go on another connection.

--- a/internal/engine/chat/chat.go
+++ b/internal/engine/chat/chat.go
@@ -13,6 +13,7 @@
 	"net"
 	"strconv"
 	"sync"
+	"syscall"
 	"time"
 
 	"mintdoor/decide"
@@ -47,6 +48,8 @@
 	firstTry    = 150 * time.Millisecond // of a call that must be heard, at one engine
 	readEnds    = 30 * time.Millisecond  // a read that was given up ends within this time, or has ended well
 	expireEvery = time.Second
+	standsAfter = 2 * time.Millisecond // the last byte of a request is held back for so long
+	connTries   = 3                    // connections for one attempt, while none has brought the request
 )
 
 // Options bound what the client does.
@@ -126,32 +129,25 @@
 func (c *Client) start(ctx context.Context, addr string, q *call) (*exchange, error) {
 	x := &exchange{client: c, ctx: ctx, stop: func() bool { return true }}
 	var err error
-	if x.conn, err = c.pool.get(ctx, addr, q.urgent); err != nil {
+	for try := 1; ; try++ {
+		if err = x.write(addr, q); err == nil {
+			break
+		}
 		var late net.Error
-		if errors.As(err, &late) && late.Timeout() {
+		if errors.As(err, &late) && late.Timeout() && x.conn == nil {
 			c.pool.forget(addr) // they are as silent, if the machine has vanished
 		}
-		return x, err
-	}
-	// Closing is how the protocol gives an attempt up.
-	x.stop = context.AfterFunc(ctx, func() { x.conn.Close() })
-	head := make([]byte, 0, 256)
-	head = append(head, q.method+" "+q.target+" HTTP/1.1\r\nHost: "+addr+"\r\n"...)
-	if q.id != "" {
-		head = append(head, IDHeader+": "+q.id+"\r\n"...)
-	}
-	if !q.until.IsZero() {
-		left := max(time.Until(q.until).Milliseconds(), 1)
-		head = append(head, LeftHeader+": "+strconv.FormatInt(left, 10)+"\r\n"...)
-	}
-	if q.body != nil {
-		head = append(head, "Content-Type: application/json\r\nContent-Length: "+strconv.Itoa(len(q.body))+"\r\n"...)
-	}
-	head = append(head, "\r\n"...)
-	size := int64(len(head) + len(q.body))
-	n, err := (&net.Buffers{head, q.body}).WriteTo(x.conn.Conn)
-	if x.written = n == size; !x.written {
-		return x, fmt.Errorf("write: %w", err)
+		// A connection that broke before the request's last byte has brought no request: it is no attempt yet,
+		// and another may carry it. Where nobody listens, or nothing comes up, there is no use in that.
+		if try == connTries || ctx.Err() != nil || !errors.Is(err, syscall.ECONNRESET) &&
+			!errors.Is(err, syscall.EPIPE) && !errors.Is(err, io.EOF) {
+			return x, err
+		}
+		if x.conn != nil {
+			x.stop()
+			x.conn.Close()
+			x.conn = nil
+		}
 	}
 	for n := 0; ; n++ {
 		if x.head, err = http1.ReadHead(x.conn.br, maxHead); err != nil {
@@ -173,6 +169,56 @@
 	return x, nil
 }
 
+// write writes a request, on a connection that has proved to stand: the last byte is held back for a moment, in
+// which an engine that has closed the connection, or closes it under a request, makes that known. Without it the
+// whole request is in the kernel before the reset comes, and nobody can tell whether it ran.
+func (x *exchange) write(addr string, q *call) error {
+	var err error
+	if x.conn, err = x.client.pool.get(x.ctx, addr, q.urgent); err != nil {
+		return err
+	}
+	conn := x.conn
+	x.stop = context.AfterFunc(x.ctx, func() { conn.Close() }) // closing is how an attempt is given up
+	head := make([]byte, 0, 256)
+	head = append(head, q.method+" "+q.target+" HTTP/1.1\r\nHost: "+addr+"\r\n"...)
+	if q.id != "" {
+		head = append(head, IDHeader+": "+q.id+"\r\n"...)
+	}
+	if !q.until.IsZero() {
+		left := max(time.Until(q.until).Milliseconds(), 1)
+		head = append(head, LeftHeader+": "+strconv.FormatInt(left, 10)+"\r\n"...)
+	}
+	if q.body != nil {
+		head = append(head, "Content-Type: application/json\r\nContent-Length: "+strconv.Itoa(len(q.body))+"\r\n"...)
+	}
+	head = append(head, "\r\n"...)
+	first, last := head, head[len(head)-1:]
+	body := q.body
+	if n := len(body); n > 0 {
+		body, last = body[:n-1], body[n-1:]
+	} else {
+		first = head[:len(head)-1]
+	}
+	if _, err := (&net.Buffers{first, body}).WriteTo(conn.Conn); err != nil {
+		return fmt.Errorf("write: %w", err)
+	}
+	conn.SetReadDeadline(time.Now().Add(standsAfter))
+	_, err = conn.br.Peek(1)
+	conn.SetReadDeadline(time.Time{})
+	var late net.Error
+	if err != nil && !(errors.As(err, &late) && late.Timeout()) {
+		return fmt.Errorf("write: %w", err)
+	}
+	if x.ctx.Err() != nil {
+		return context.Cause(x.ctx)
+	}
+	n, err := conn.Write(last)
+	if x.written = n == len(last); !x.written {
+		return fmt.Errorf("write: %w", err)
+	}
+	return nil
+}
+
 // done gives the connection back if the answer has left it clean.
 func (x *exchange) done() {
 	if x.conn == nil {
