What may be sent once goes on a fresh connection; engines that reset a kept one are doubted

Checked: a tenth of kept connections is reset at its next request whatever its idle time (0 to 1 s), a twentieth of fresh ones; the check of idle connections sees none of them, since the engine says nothing before it is written to. Change: unsafe attempts at a writer take a fresh connection; an engine that reset a kept one has each connection used once for 10 s.

--- a/internal/engine/chat/chat.go
+++ b/internal/engine/chat/chat.go
@@ -50,6 +50,7 @@
 	expireEvery = time.Second
 	standsAfter = 2 * time.Millisecond // the last byte of a request is held back for so long
 	connTries   = 3                    // connections for one attempt, while none has brought the request
+	doubtFor    = 10 * time.Second     // an engine's connections are used once for so long after one was reset
 )
 
 // Options bound what the client does.
@@ -75,7 +76,7 @@
 // New returns a client. Run looks after its idle connections.
 func New(opts Options) *Client {
 	return &Client{opts: opts, heard: map[string]time.Time{}, pool: &pool{dialTimeout: opts.DialTimeout,
-		keep: opts.ConnIdle, most: opts.MaxConns, spare: opts.SpareConns}}
+		keep: opts.ConnIdle, standsAfter: standsAfter, most: opts.MaxConns, spare: opts.SpareConns}}
 }
 
 // Run closes idle connections before their engines do, until ctx ends; then all.
@@ -123,6 +124,7 @@
 	body               []byte
 	until              time.Time // zero: nothing is said of the time
 	urgent             bool
+	fresh              bool // on a connection that has carried nothing yet
 }
 
 // start writes a request and reads the head of its answer.
@@ -144,6 +146,7 @@
 			return x, err
 		}
 		if x.conn != nil {
+			x.doubted()
 			x.stop()
 			x.conn.Close()
 			x.conn = nil
@@ -151,7 +154,10 @@
 	}
 	for n := 0; ; n++ {
 		if x.head, err = http1.ReadHead(x.conn.br, maxHead); err != nil {
-			return x, fmt.Errorf("head: %w", err)
+			if errors.Is(err, syscall.ECONNRESET) || errors.Is(err, io.EOF) {
+				x.doubted()
+			}
+			return x, fmt.Errorf("head (connection used %d times before): %w", x.conn.uses, err)
 		}
 		if x.status, err = x.head.Status(); err != nil {
 			return x, err
@@ -169,12 +175,19 @@
 	return x, nil
 }
 
+// doubted: the connection broke before an answer. If it was kept, others to its engine may be as dead.
+func (x *exchange) doubted() {
+	if x.conn.uses > 0 && x.ctx.Err() == nil {
+		x.client.pool.distrust(x.conn.addr)
+	}
+}
+
 // write writes a request, on a connection that has proved to stand: the last byte is held back for a moment, in
 // which an engine that has closed the connection, or closes it under a request, makes that known. Without it the
 // whole request is in the kernel before the reset comes, and nobody can tell whether it ran.
 func (x *exchange) write(addr string, q *call) error {
 	var err error
-	if x.conn, err = x.client.pool.get(x.ctx, addr, q.urgent); err != nil {
+	if x.conn, err = x.client.pool.get(x.ctx, addr, q.urgent, q.fresh); err != nil {
 		return err
 	}
 	conn := x.conn
@@ -202,7 +215,7 @@
 	if _, err := (&net.Buffers{first, body}).WriteTo(conn.Conn); err != nil {
 		return fmt.Errorf("write: %w", err)
 	}
-	conn.SetReadDeadline(time.Now().Add(standsAfter))
+	conn.SetReadDeadline(time.Now().Add(x.client.pool.standsAfter))
 	_, err = conn.br.Peek(1)
 	conn.SetReadDeadline(time.Time{})
 	var late net.Error
@@ -312,7 +325,7 @@
 // attempt starts an attempt of a request.
 func (c *Client) attempt(ctx context.Context, addr string, q *engine.Call) (*exchange, error) {
 	return c.start(ctx, addr, &call{method: "POST", target: q.Message.Target, id: q.Params.Request,
-		body: q.Message.Body, until: q.Until})
+		body: q.Message.Body, until: q.Until, fresh: q.Once})
 }
 
 // Prefill has a prompt read and returns when the state waits, or the attempt has failed.
--- a/internal/engine/chat/chat_test.go
+++ b/internal/engine/chat/chat_test.go
@@ -290,6 +290,99 @@
 	}
 }
 
+// One kept connection that its engine resets puts the others in doubt; what may be sent once never goes on a
+// kept one.
+func TestDoubtOfKeptConnections(t *testing.T) {
+	p := play(t, true, always(whole("202 x", "{}")))
+	c := newClient(t, nil)
+	c.Prefill(t.Context(), p.addr, request())
+	once := request()
+	once.Once = true
+	if c.pool.idle.Len() != 1 {
+		t.Fatal("nothing was kept")
+	}
+	kept := c.pool.idle.Front().Value.(*conn)
+	x := &exchange{client: c, ctx: t.Context(), conn: kept}
+	if x.doubted(); len(c.pool.doubt) != 0 {
+		t.Error("a fresh connection's end put others in doubt")
+	}
+	kept.uses = 1
+	x.doubted()
+	if c.pool.idle.Len() != 0 {
+		t.Error("kept connections stayed")
+	}
+	c.Probe(t.Context(), p.addr)
+	if c.pool.idle.Len() != 0 {
+		t.Error("one was kept in doubt")
+	}
+	c.pool.doubt[p.addr] = time.Now().Add(-time.Second)
+	c.pool.expire()
+	if len(c.pool.doubt) != 0 {
+		t.Error("the doubt never ends")
+	}
+	c.Probe(t.Context(), p.addr)
+	before := p.conns.Load()
+	c.Prefill(t.Context(), p.addr, once)
+	if n := p.conns.Load(); n != before+1 {
+		t.Errorf("%d connections more for what may be sent once", n-before)
+	}
+}
+
+// A connection that breaks before the request's last byte has brought none: another carries it, and the engine
+// gets it once. One that breaks after it is a reset.
+func TestBrokenBeforeTheLastByte(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		after  int // bytes of the body that are read before the reset
+		resets int // connections that are reset so
+		want   decide.Outcome
+	}{
+		{"once", 6, 1, decide.ReadDone}, {"twice", 0, 2, decide.ReadDone}, {"always", 6, 99, decide.ConnectFailed},
+		{"after the last byte", 7, 1, decide.Reset},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			served := 0
+			done := make(chan struct{})
+			go func() {
+				defer close(done)
+				for n := 0; ; n++ {
+					conn, err := l.Accept()
+					if err != nil {
+						return
+					}
+					br := bufio.NewReader(conn)
+					http1.ReadHead(br, 1<<16)
+					if n < c.resets {
+						io.CopyN(io.Discard, br, int64(c.after))
+						conn.(*net.TCPConn).SetLinger(0)
+						conn.Close()
+						continue
+					}
+					io.CopyN(io.Discard, br, 7)
+					served++
+					io.WriteString(conn, whole("202 x", "{}"))
+					conn.Close()
+				}
+			}()
+			cl := newClient(t, nil)
+			cl.pool.standsAfter = time.Second // until the reset has come
+			if c.after == 7 {
+				cl.pool.standsAfter = time.Millisecond
+			}
+			res := cl.Prefill(t.Context(), l.Addr().String(), request())
+			l.Close()
+			<-done
+			if res.Outcome != c.want || served > 1 {
+				t.Errorf("outcome %d, %v, served %d times", res.Outcome, res.Err, served)
+			}
+		})
+	}
+}
+
 // An attempt that is given up closes its connection, and its cause is its outcome.
 func TestGivenUp(t *testing.T) {
 	for _, c := range []struct {
--- a/internal/engine/chat/pool.go
+++ b/internal/engine/chat/pool.go
@@ -17,6 +17,7 @@
 	addr string
 	br   *bufio.Reader
 	used time.Time
+	uses int // exchanges before the one under way
 	once sync.Once
 	pool *pool
 	idle *list.Element // in pool.idle; nil while it is out
@@ -41,22 +42,25 @@
 	keep        time.Duration // well under the engines' time for idle connections
 	most        int           // open at once
 	spare       int           // more for what has to be let go
+	standsAfter time.Duration // a request's last byte is held back for so long
 
 	mu    sync.Mutex
 	total int
-	idle  list.List // of *conn, used last in front
+	idle  list.List            // of *conn, used last in front
+	doubt map[string]time.Time // until when no connection to an engine is used twice
 }
 
 var errLimit = errors.New("limit of connections to engines is reached")
 
-// get returns a connection that stands. fresh tells that it was made for this.
-func (p *pool) get(ctx context.Context, addr string, urgent bool) (*conn, error) {
-	for {
+// get returns a connection that stands; fresh asks for one that has carried nothing yet. urgent has more room.
+func (p *pool) get(ctx context.Context, addr string, urgent, fresh bool) (*conn, error) {
+	for !fresh {
 		c := p.take(addr)
 		if c == nil {
 			break
 		}
 		if time.Since(c.used) < p.keep && c.sound() {
+			c.uses++
 			return c, nil
 		}
 		c.Close()
@@ -122,17 +126,43 @@
 func (p *pool) put(c *conn) {
 	c.used = time.Now()
 	p.mu.Lock()
+	if c.used.Before(p.doubt[c.addr]) {
+		p.mu.Unlock()
+		c.Close()
+		return
+	}
 	c.idle = p.idle.PushFront(c)
 	p.mu.Unlock()
 }
 
+// distrust: an engine has reset a connection that was kept. It may have closed others without a word, so for a
+// while each of its connections is used once.
+func (p *pool) distrust(addr string) {
+	p.mu.Lock()
+	if p.doubt == nil {
+		p.doubt = map[string]time.Time{}
+	}
+	p.doubt[addr] = time.Now().Add(doubtFor)
+	p.mu.Unlock()
+	p.forget(addr)
+}
+
 // forget closes the idle connections to an address, or all with "".
 func (p *pool) forget(addr string) {
 	p.sweep(func(c *conn) bool { return addr == "" || c.addr == addr })
 }
 
 // expire closes those that an engine may close soon.
-func (p *pool) expire() { p.sweep(func(c *conn) bool { return time.Since(c.used) >= p.keep }) }
+func (p *pool) expire() {
+	p.sweep(func(c *conn) bool { return time.Since(c.used) >= p.keep })
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for addr, until := range p.doubt {
+		if time.Now().After(until) {
+			delete(p.doubt, addr)
+		}
+	}
+}
 
 func (p *pool) sweep(which func(*conn) bool) {
 	var gone []*conn
--- a/internal/engine/wire.go
+++ b/internal/engine/wire.go
@@ -236,6 +236,7 @@
 
 	Message *Message  // nil: the engine gets Prompt and Params
 	Until   time.Time // the router waits no longer for the first sign
+	Once    bool      // it may not be sent again if it may have run
 }
 
 // Result is how an attempt ended.
--- a/internal/router/actions.go
+++ b/internal/router/actions.go
@@ -129,6 +129,7 @@
 func (r *Router) fill(a *attempt, f *flight) {
 	j := &f.q.job
 	a.call = engine.Call{ID: f.name + "." + strconv.Itoa(a.number), Model: r.cfg.Model, Message: j.Message,
+		Once:  !a.prefill && r.cfg.Settings.Classes[j.Class].Repeat == decide.Unsafe,
 		Until: r.start.Add(time.Duration(a.limit.at - decide.Time(r.start.UnixNano()))), Params: engine.Params{
 			Stage: engine.StageDecode, Request: f.name, Client: j.ClientID, Class: j.ClassName, Tenant: j.TenantName,
 			Session: j.Session, SharedText: j.SharedText, PromptTokens: j.PromptTokens,
