Watches of the list wait for 1 s, so that a silent one is noticed within 2 s

Checked: no spoilt streams, no resets, engines drained by plan; the log shows no list between 0.24 and 22.24 s, then 'context deadline exceeded' of a watch with timeout_ms=20000: the agent's watch had fallen silent, and drains and new engines went unseen. At fault: waitFor of 20 s in discovery/watch. A wait of 1 s costs one call a second and router.

--- a/internal/discovery/watch/watch.go
+++ b/internal/discovery/watch/watch.go
@@ -24,8 +24,8 @@
 
 // Bounds of a call.
 const (
-	listWithin = 2 * time.Second        // for an answer that need not wait
-	waitFor    = 20 * time.Second       // a watch waits so long for a change
+	listWithin = time.Second            // for an answer that need not wait
+	waitFor    = time.Second            // a watch waits so long for a change; one that fell silent shows soon after
 	firstPause = 50 * time.Millisecond  // before a call that failed is made again, doubled each time ...
 	mostPause  = 800 * time.Millisecond // ... up to this
 	maxAnswer  = 4 << 20
@@ -66,6 +66,8 @@
 	log   *slog.Logger
 	http  http.Client
 
+	wait, within time.Duration // waitFor, listWithin
+
 	mu    sync.Mutex
 	addr  string
 	moved context.CancelFunc // ends the call under way
@@ -77,7 +79,7 @@
 // New returns a source that asks at addr. kinds are the settings' kinds; known is the list as this router
 // last held it.
 func New(addr string, kinds []string, known *List, log *slog.Logger) *Source {
-	return &Source{addr: addr, kinds: kinds, known: known, log: log, list: map[string]discovery.Engine{},
+	return &Source{addr: addr, wait: waitFor, within: listWithin, kinds: kinds, known: known, log: log, list: map[string]discovery.Engine{},
 		http: http.Client{Transport: &http.Transport{MaxIdleConns: 1, MaxConnsPerHost: 2, DisableCompression: true,
 			MaxResponseHeaderBytes: 16 << 10, ReadBufferSize: 4096, WriteBufferSize: 1024}}}
 }
@@ -139,11 +141,11 @@
 
 // call makes one call and reads its answer.
 func (s *Source) call(ctx context.Context, whole bool) (*List, error) {
-	within := listWithin
+	within := s.within
 	query := ""
 	if !whole {
-		within += waitFor
-		query = "?since=" + strconv.FormatInt(s.revision, 10) + "&timeout_ms=" + strconv.FormatInt(waitFor.Milliseconds(), 10)
+		within += s.wait
+		query = "?since=" + strconv.FormatInt(s.revision, 10) + "&timeout_ms=" + strconv.FormatInt(s.wait.Milliseconds(), 10)
 	}
 	ctx, cancel := context.WithTimeout(ctx, within)
 	defer cancel()
--- a/internal/discovery/watch/watch_test.go
+++ b/internal/discovery/watch/watch_test.go
@@ -136,8 +136,8 @@
 		}
 	}
 	asked := a.requests()
-	for i, want := range []string{ListPath, ListPath + "?since=41&timeout_ms=20000", ListPath + "?since=42&timeout_ms=20000",
-		ListPath + "?since=43&timeout_ms=20000", ListPath + "?since=44&timeout_ms=20000"} {
+	for i, want := range []string{ListPath, ListPath + "?since=41&timeout_ms=1000", ListPath + "?since=42&timeout_ms=1000",
+		ListPath + "?since=43&timeout_ms=1000", ListPath + "?since=44&timeout_ms=1000"} {
 		if asked[i] != want {
 			t.Errorf("call %d: %s, want %s", i, asked[i], want)
 		}
@@ -194,3 +194,29 @@
 	}
 	s.Move(b.addr()) // nothing to do
 }
+
+// A watch that falls silent is a failed asking, soon; the whole list is asked for, and watched again.
+func TestSilentWatch(t *testing.T) {
+	a := newAgent(t, list(41, true, member("s1", "h:1", "up", 0)), "", list(42, true, member("s1", "h:1", "draining", 0)),
+		list(43, false, member("s1", "h:1", "removed", 0)))
+	s := New(a.addr(), []string{"m2"}, nil, quiet())
+	s.wait, s.within = 20*time.Millisecond, 200*time.Millisecond
+	told := run(t, s)
+	for _, want := range []string{"s1 h:1 up 0", "failed", "s1 h:1 draining 0", ""} {
+		if got := next(t, told); got != want {
+			t.Errorf("told %q, want %q", got, want)
+		}
+	}
+	for i, want := range []string{ListPath, ListPath + "?since=41&timeout_ms=20", ListPath, ListPath + "?since=42&timeout_ms=20"} {
+		if got := a.requests()[i]; got != want {
+			t.Errorf("call %d: %s, want %s", i, got, want)
+		}
+	}
+}
+
+// What a silent watch costs is bounded: its list is old by no more than the wait and the time for an answer.
+func TestWaitsAreShort(t *testing.T) {
+	if most := 2 * time.Second; waitFor+listWithin > most {
+		t.Errorf("a silent watch is noticed after %v", waitFor+listWithin)
+	}
+}
