--- /dev/null
+++ b/internal/router/holds_test.go
@@ -0,0 +1,136 @@
+package router
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+
+	"mintdoor/decide"
+	"mintdoor/internal/engine"
+)
+
+// Where all that is held stands under the request's id, nothing is let go while an attempt may still bring what
+// such a call would take; when the request is over, one call lets go of everything.
+func TestHeldByRequest(t *testing.T) {
+	var mu sync.Mutex
+	p1, p2, d1 := fleet()[2], fleet()[3], fleet()[0]
+	calls := func(f *fakeEngines) (released, calledOff int) {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		return len(f.released), f.calledOff
+	}
+	for _, c := range []struct {
+		name                string
+		reads               []decide.Outcome // of the first reader, then of the second
+		write               decide.Outcome
+		released, calledOff int
+	}{
+		{"served", []decide.Outcome{decide.ReadDone}, decide.Served, 0, 0},
+		{"a read given up, then served", []decide.Outcome{decide.TimedOut, decide.ReadDone}, decide.Served, 0, 0},
+		{"a read given up, and the next refused", []decide.Outcome{decide.TimedOut, decide.Full}, 0, 0, 1},
+		{"a read reset, then not written", []decide.Outcome{decide.Reset, decide.ReadDone}, decide.Error, 0, 1},
+		{"read, and not written", []decide.Outcome{decide.ReadDone}, decide.Full, 1, 0},
+		{"nothing read", []decide.Outcome{decide.Full, decide.ConnectFailed}, 0, 0, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			n := 0
+			fake := &fakeEngines{}
+			early := false
+			fake.prefill = func(_ context.Context, addr string, q *engine.Call) engine.Result {
+				mu.Lock()
+				o := c.reads[n]
+				n++
+				mu.Unlock()
+				if r, off := calls(fake); r+off > 0 {
+					mu.Lock()
+					early = true
+					mu.Unlock()
+				}
+				if o == decide.ReadDone {
+					return readDone(addr, q)
+				}
+				return engine.Result{Outcome: o, Report: engine.Untold(), Err: errors.New("as told")}
+			}
+			fake.decode = func(ctx context.Context, _ string, _ *engine.Call, sink func(string) error) engine.Result {
+				if r, off := calls(fake); r+off > 0 {
+					mu.Lock()
+					early = true
+					mu.Unlock()
+				}
+				if c.write == decide.Served {
+					return stream(ctx, sink, 1)
+				}
+				return engine.Result{Outcome: c.write, Report: engine.Untold(), Err: errors.New("as told")}
+			}
+			module := withModule(func(_ decide.Time, ev *decide.Event, out []decide.Action) []decide.Action {
+				switch {
+				case ev.Kind == decide.Arrived:
+					out = append(out, decide.Action{Kind: decide.Send, Request: ev.Request, Server: p1.ID()})
+				case ev.Kind != decide.Ended || ev.Closed:
+				case ev.Outcome == decide.ReadDone:
+					out = append(out, decide.Action{Kind: decide.Send, Request: ev.Request, Server: d1.ID()})
+				case ev.Server == p1.ID() && len(c.reads) > 1: // as the module does before it reads anew
+					out = append(out, decide.Action{Kind: decide.Release, Request: ev.Request},
+						decide.Action{Kind: decide.Send, Request: ev.Request, Server: p2.ID()})
+				default:
+					out = append(out, decide.Action{Kind: decide.Fail, Request: ev.Request},
+						decide.Action{Kind: decide.Release, Request: ev.Request})
+				}
+				return out
+			})
+			g := start(t, fake, func(cfg *Config) { cfg.Holds = ByRequest; module(cfg) })
+			j := job(0)
+			j.Name = "client-1"
+			g.all(g.submit(j))
+			g.eventually("it is over", func() bool { return g.Stats().Open == 0 })
+			g.eventually("all is let go", func() bool {
+				r, off := calls(fake)
+				return r == c.released && off == c.calledOff
+			})
+			g.stop()
+			<-g.Stopped()
+			if r, off := calls(fake); r != c.released || off != c.calledOff {
+				t.Errorf("released %d, called off %d", r, off)
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			if early {
+				t.Error("something was let go while an attempt was out")
+			}
+			for _, name := range fake.released {
+				if name != "kv-client-1" && name != "client-1" {
+					t.Errorf("released %q", name)
+				}
+			}
+		})
+	}
+}
+
+// A name is held by one open request at a time, and free again when that is over.
+func TestNamesOfOpenRequests(t *testing.T) {
+	gate := make(chan bool)
+	g := start(t, &fakeEngines{decode: func(ctx context.Context, _ string, _ *engine.Call, sink func(string) error) engine.Result {
+		<-gate
+		return stream(ctx, sink, 1)
+	}}, func(cfg *Config) { cfg.Holds = ByRequest })
+	j := job(0)
+	j.Name = "same"
+	first := g.submit(j)
+	if _, err := g.Submit(j); !errors.Is(err, ErrOpen) {
+		t.Errorf("the second: %v", err)
+	}
+	other := job(0)
+	other.Name = "other"
+	second := g.submit(other)
+	close(gate)
+	for _, q := range []*Request{first, second} {
+		if _, end := g.all(q); end.Kind != Served {
+			t.Errorf("%+v", end)
+		}
+	}
+	g.eventually("over", func() bool { return g.Stats().Open == 0 })
+	if _, end := g.all(g.submit(j)); end.Kind != Served {
+		t.Errorf("again: %+v", end)
+	}
+}
