Decision module: a server that turns requests away in a row is left out for a while

Checked: same on kept and fresh connections; by engine all at seven of them, nine in ten of their answers, none at the others, though the list calls them up. At fault: unbook, 'case Served, Full', which takes a refusal for a sign of life alone. Change: it counts as a failed attempt; benchIt leaves out half of a pool at most.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -521,8 +521,15 @@
 		s.pending--
 	}
 	switch ev.Outcome {
-	case Served, Full:
+	case Served:
 		s.quietFrom = r.now
+	case Full:
+		s.quietFrom = r.now
+		// Guards against a server that turns away what its peers would take, as one that drains before the
+		// list says so. When half of a pool does, it is load, and benchIt leaves nobody out.
+		if !ev.NoState {
+			r.bad(s, false)
+		}
 	case ReadDone:
 		s.quietFrom = r.now
 		if r.found > 0 {
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -1118,3 +1118,59 @@
 		}
 	}
 }
+
+// A server that turns away what its peers take is left out for a while, like one that fails (incident rb3369c:
+// half of the engines answered 503 after 0.2 s and were each asked again and again). When all do it is load, and
+// more than half of them stay in use. A state that is gone says nothing of the server.
+func TestTurningAwayIsASymptom(t *testing.T) {
+	left := func(w *world) int {
+		return w.r.count(Writer, func(s *server) bool { return w.r.suspect(s, false) })
+	}
+	w := newWorld(t, settings(), fleet())
+	bad := &Event{Kind: Ended, Outcome: Full}
+	for range 4 {
+		id, writer := w.read(safe)
+		for n := 1; n < 4; n++ {
+			w.now += 10 * ms
+			ev := *bad
+			ev.Request, ev.Attempt, ev.Server = id, n, writer
+			a := find(w.do(ev), Send)
+			if a == nil {
+				break
+			}
+			writer = a.Server
+		}
+		w.do(Event{Kind: ClientGone, Request: id})
+	}
+	if n := left(w); n > 1 {
+		t.Errorf("%d of 3 writers are left out when all are full", n)
+	}
+
+	w = newWorld(t, settings(), fleet())
+	turned := 0
+	for range 30 {
+		id, writer := w.read(safe)
+		if writer == 12 {
+			turned++
+			writer = w.sent(w.end(id, 1, 12, Full))
+			w.do(Event{Kind: FirstToken, Request: id, Attempt: 2, Server: writer, Spent: 20 * ms})
+			w.end(id, 2, writer, Served)
+			continue
+		}
+		w.do(Event{Kind: FirstToken, Request: id, Attempt: 1, Server: writer, Spent: 20 * ms})
+		w.end(id, 1, writer, Served)
+	}
+	if turned < 2 || turned > 8 {
+		t.Errorf("asked %d times of 30, though it turns all away", turned)
+	}
+
+	w = newWorld(t, settings(), fleet())
+	for range 3 {
+		id, writer := w.read(safe)
+		w.do(Event{Kind: Ended, Request: id, Attempt: 1, Server: writer, Outcome: Full, NoState: true})
+		w.do(Event{Kind: ClientGone, Request: id})
+	}
+	if n := left(w); n != 0 {
+		t.Errorf("%d writers are left out for states that were gone", n)
+	}
+}
