What is written twice stands once: holds, signals, names, lists; streams judged by events

Mended: nine special cases of ByRequest in the core are one file with two keepers; the list's sorting, the words of bad requests, the longest deadline, the protocol's names, reading of a number, waiting in tests and the signals of serve and node each stood twice; an engine that answered after it was forgotten stayed in a map for good. A stream's time runs from event to event, so that a drip of bytes or comments no longer puts it off. node ends at its second signal, as serve does.

--- a/cmd/mintdoor/node.go
+++ b/cmd/mintdoor/node.go
@@ -1,10 +1,8 @@
 package main
 
 import (
-	"context"
 	"log/slog"
 	"os"
-	"os/signal"
 	"syscall"
 
 	"mintdoor/internal/logging"
@@ -16,13 +14,10 @@
 func nodeCommand() *cobra.Command {
 	return &cobra.Command{
 		Use:   "node",
-		Short: "Run a router on the platform, as the variables PROXY_CONFIG and others tell, until SIGTERM",
+		Short: "Run a router on the platform, as the variables PROXY_CONFIG and others tell, until a signal",
 		Args:  cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			// Before anything else: a signal that nobody takes would end the program.
-			signals := make(chan os.Signal, 4)
-			signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM, syscall.SIGHUP)
-			defer signal.Stop(signals)
+			signals := takeSignals(syscall.SIGHUP)
 			cfg, err := node.Load(os.Getenv)
 			if err != nil {
 				return err
@@ -32,22 +27,8 @@
 			if err != nil {
 				return err
 			}
-			ctx, cancel := context.WithCancel(cmd.Context())
-			defer cancel()
-			go func() {
-				for {
-					select {
-					case <-ctx.Done():
-						return
-					case s := <-signals:
-						if s == syscall.SIGHUP {
-							n.Reload()
-						} else {
-							n.Drain()
-						}
-					}
-				}
-			}()
+			ctx, stop := untilSignal(cmd.Context(), signals, n.Drain, n.Reload)
+			defer stop()
 			return n.Run(ctx)
 		},
 	}
--- a/cmd/mintdoor/serve.go
+++ b/cmd/mintdoor/serve.go
@@ -1,14 +1,11 @@
 package main
 
 import (
-	"context"
 	"crypto/rand"
 	"encoding/binary"
 	"fmt"
 	"os"
-	"os/signal"
 	"runtime/debug"
-	"syscall"
 
 	"mintdoor/internal/config"
 	"mintdoor/internal/daemon"
@@ -40,25 +37,8 @@
 				return err
 			}
 			fmt.Fprintf(cmd.OutOrStdout(), "listening on %s\n", d.Addr())
-			ctx, cancel := context.WithCancel(cmd.Context())
-			defer cancel()
-			signals := make(chan os.Signal, 2)
-			signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
-			defer signal.Stop(signals)
-			go func() {
-				for first := true; ; first = false {
-					select {
-					case <-ctx.Done():
-						return
-					case <-signals:
-					}
-					if !first {
-						cancel()
-						return
-					}
-					d.Drain()
-				}
-			}()
+			ctx, stop := untilSignal(cmd.Context(), takeSignals(), d.Drain, nil)
+			defer stop()
 			return d.Run(ctx)
 		},
 	}
--- a/internal/discovery/watch/watch.go
+++ b/internal/discovery/watch/watch.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"maps"
 	"net/http"
 	"slices"
 	"strconv"
@@ -72,14 +73,14 @@
 	addr  string
 	moved context.CancelFunc // ends the call under way
 
-	list     map[string]discovery.Engine
+	list     []discovery.Engine // sorted by name
 	revision int64
 }
 
 // New returns a source that asks at addr. kinds are the settings' kinds; known is the list as this router
 // last held it.
 func New(addr string, kinds []string, known *List, log *slog.Logger) *Source {
-	return &Source{addr: addr, wait: waitFor, within: listWithin, kinds: kinds, known: known, log: log, list: map[string]discovery.Engine{},
+	return &Source{addr: addr, wait: waitFor, within: listWithin, kinds: kinds, known: known, log: log,
 		http: http.Client{Transport: &http.Transport{MaxIdleConns: 1, MaxConnsPerHost: 2, DisableCompression: true,
 			MaxResponseHeaderBytes: 16 << 10, ReadBufferSize: 4096, WriteBufferSize: 1024}}}
 }
@@ -104,7 +105,7 @@
 func (s *Source) Run(ctx context.Context, tell func(discovery.Update)) error {
 	defer s.http.CloseIdleConnections()
 	if s.known != nil {
-		if err := s.take(s.known, true); err != nil {
+		if err := s.take(s.known); err != nil {
 			s.log.Warn("the list held at the start is unsound", "err", err)
 		} else {
 			s.tell(tell)
@@ -114,7 +115,7 @@
 	for ctx.Err() == nil {
 		l, err := s.call(ctx, whole)
 		if err == nil {
-			if err = s.take(l, whole); err == nil {
+			if err = s.take(l); err == nil {
 				s.tell(tell)
 				whole, pause = false, firstPause
 				continue // at once: a watch that pauses is a new one
@@ -192,20 +193,17 @@
 }
 
 // take puts an answer into the list; with an error the list stays as it was. An older revision is passed over.
-func (s *Source) take(l *List, asked bool) error {
-	if l.Revision < s.revision && !(asked && l.Complete) {
-		return fmt.Errorf("discovery's revision %d is older than %d", l.Revision, s.revision)
-	}
+func (s *Source) take(l *List) error {
 	if l.Revision < s.revision {
-		return fmt.Errorf("discovery's whole list of revision %d is older than %d", l.Revision, s.revision)
+		return fmt.Errorf("discovery's revision %d is older than %d", l.Revision, s.revision)
 	}
 	if len(l.Members) > maxMembers {
 		return fmt.Errorf("discovery lists %d members", len(l.Members))
 	}
 	next := make(map[string]discovery.Engine, len(s.list)+len(l.Members))
 	if !l.Complete {
-		for id, e := range s.list {
-			next[id] = e
+		for _, e := range s.list {
+			next[e.Name] = e
 		}
 	}
 	seen := make(map[string]bool, len(l.Members))
@@ -225,10 +223,11 @@
 		}
 		next[m.ID] = e
 	}
-	if err := discovery.Check(sorted(next)); err != nil {
+	list := slices.Collect(maps.Values(next))
+	if err := discovery.Check(list); err != nil { // it sorts
 		return err
 	}
-	s.list, s.revision = next, l.Revision
+	s.list, s.revision = list, l.Revision
 	return nil
 }
 
@@ -256,23 +255,6 @@
 	return e, nil
 }
 
-func sorted(list map[string]discovery.Engine) []discovery.Engine {
-	out := make([]discovery.Engine, 0, len(list))
-	for _, e := range list {
-		out = append(out, e)
-	}
-	slices.SortFunc(out, func(a, b discovery.Engine) int {
-		switch {
-		case a.Name < b.Name:
-			return -1
-		case a.Name > b.Name:
-			return 1
-		}
-		return 0
-	})
-	return out
-}
-
 func (s *Source) tell(tell func(discovery.Update)) {
-	tell(discovery.Update{Engines: sorted(s.list), At: time.Now()})
+	tell(discovery.Update{Engines: s.list, At: time.Now()})
 }
--- a/internal/e2e/e2e_test.go
+++ b/internal/e2e/e2e_test.go
@@ -22,6 +22,7 @@
 	"mintdoor/internal/audit"
 	"mintdoor/internal/config"
 	"mintdoor/internal/daemon"
+	"mintdoor/internal/eventually"
 	"mintdoor/internal/kserve"
 	standin "mintdoor/internal/standin/engine"
 	"mintdoor/internal/standin/fleet"
@@ -160,11 +161,7 @@
 
 func (w *world) eventually(what string, cond func() bool) {
 	w.t.Helper()
-	for end := time.Now().Add(30 * time.Second); !cond(); time.Sleep(time.Millisecond) {
-		if time.Now().After(end) {
-			w.t.Fatalf("not seen: %s; %+v", what, w.daemon.Router.Stats())
-		}
-	}
+	eventually.Is(w.t, what, cond, func() any { return w.daemon.Router.Stats() })
 }
 
 // play plays a fault on an engine.
--- a/internal/engine/chat/chat.go
+++ b/internal/engine/chat/chat.go
@@ -19,20 +19,12 @@
 	"mintdoor/decide"
 	"mintdoor/internal/engine"
 	"mintdoor/internal/http1"
+	"mintdoor/internal/platform"
 	"mintdoor/internal/settings"
 )
 
-// The protocol's paths and headers.
 const (
-	HoldsPath = "/v1/holds/"
-	LoadPath  = "/metrics/load"
-
-	IDHeader     = "X-Correlation-Id"
-	LeftHeader   = "X-Time-Left-Ms"
-	UnrunHeader  = "X-Unprocessed" // 1: nothing of the request has run
-	LoadHeader   = "X-Backend-Load"
-	eventsType   = "text/event-stream"
-	loadComment  = ": " + LoadHeader + ":"
+	loadComment  = ": " + platform.LoadHeader + ":"
 	doneSentinel = "[DONE]"
 )
 
@@ -44,12 +36,12 @@
 	maxChunk    = 64 << 10
 	maxEvent    = 64 << 10
 	maxInterim  = 8                      // 1xx answers in front of one
-	partWithin  = 2 * time.Second        // for the rest of a chunk that has begun
 	firstTry    = 150 * time.Millisecond // of a call that must be heard, at one engine
 	readEnds    = 30 * time.Millisecond  // a read that was given up ends within this time, or has ended well
 	expireEvery = time.Second
 	standsAfter = 2 * time.Millisecond // the last byte of a request is held back for so long
 	connTries   = 3                    // connections for one attempt, while none has brought the request
+	heardFor    = time.Minute          // an engine that answered is known for so long as one that runs
 	doubtFor    = 10 * time.Second     // an engine's connections are used once for so long after one was reset
 )
 
@@ -88,8 +80,8 @@
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-t.C:
-			c.pool.expire()
+		case now := <-t.C:
+			c.expire(now)
 		}
 	}
 }
@@ -105,6 +97,19 @@
 	c.pool.forget(addr)
 }
 
+// expire forgets engines that have not answered for long: a late answer may come after Forget, and engines are
+// always new ones.
+func (c *Client) expire(now time.Time) {
+	c.pool.expire()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for addr, at := range c.heard {
+		if now.Sub(at) > heardFor {
+			delete(c.heard, addr)
+		}
+	}
+}
+
 // exchange is one request and its answer. done gives the connection back or closes it.
 type exchange struct {
 	client  *Client
@@ -195,11 +200,11 @@
 	head := make([]byte, 0, 256)
 	head = append(head, q.method+" "+q.target+" HTTP/1.1\r\nHost: "+addr+"\r\n"...)
 	if q.id != "" {
-		head = append(head, IDHeader+": "+q.id+"\r\n"...)
+		head = append(head, platform.IDHeader+": "+q.id+"\r\n"...)
 	}
 	if !q.until.IsZero() {
 		left := max(time.Until(q.until).Milliseconds(), 1)
-		head = append(head, LeftHeader+": "+strconv.FormatInt(left, 10)+"\r\n"...)
+		head = append(head, platform.LeftHeader+": "+strconv.FormatInt(left, 10)+"\r\n"...)
 	}
 	if q.body != nil {
 		head = append(head, "Content-Type: application/json\r\nContent-Length: "+strconv.Itoa(len(q.body))+"\r\n"...)
@@ -293,7 +298,7 @@
 func (x *exchange) refused() engine.Result {
 	r := engine.Result{Outcome: decide.Error, Report: x.report()}
 	text, _ := x.body()
-	if v, _ := x.head.Get(UnrunHeader); v == "1" {
+	if v, _ := x.head.Get(platform.UnrunHeader); v == "1" {
 		switch x.status {
 		case 503, 504:
 			r.Outcome = decide.Full
@@ -306,7 +311,7 @@
 }
 
 func (x *exchange) report() decide.Report {
-	v, _ := x.head.Get(LoadHeader)
+	v, _ := x.head.Get(platform.LoadHeader)
 	return parseLoad([]byte(v))
 }
 
@@ -438,7 +443,7 @@
 		if addr != "" {
 			tried[addr] = true
 			try, end := context.WithTimeout(ctx, firstTry)
-			x, err := c.start(try, addr, &call{method: "DELETE", target: HoldsPath + request, urgent: true})
+			x, err := c.start(try, addr, &call{method: "DELETE", target: platform.HoldsPath + request, urgent: true})
 			if err == nil {
 				_, err = x.body()
 				if err == nil && x.status >= 300 {
@@ -460,7 +465,7 @@
 			}
 		}
 		if ctx.Err() != nil {
-			return fmt.Errorf("DELETE %s%s: %w", HoldsPath, request, errors.Join(last, ctx.Err()))
+			return fmt.Errorf("DELETE %s%s: %w", platform.HoldsPath, request, errors.Join(last, ctx.Err()))
 		}
 	}
 }
@@ -482,7 +487,7 @@
 func (c *Client) Reserve(ctx context.Context, addr string, p *engine.PlaceRequest) (bool, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.opts.ProbeWithin)
 	defer cancel()
-	x, err := c.start(ctx, addr, &call{method: "POST", target: HoldsPath + p.Request})
+	x, err := c.start(ctx, addr, &call{method: "POST", target: platform.HoldsPath + p.Request})
 	defer x.done()
 	if err != nil {
 		return false, err
@@ -497,7 +502,7 @@
 func (c *Client) Probe(ctx context.Context, addr string) engine.Result {
 	ctx, cancel := context.WithTimeoutCause(ctx, c.opts.ProbeWithin, engine.ErrTimedOut)
 	defer cancel()
-	x, err := c.start(ctx, addr, &call{method: "GET", target: LoadPath})
+	x, err := c.start(ctx, addr, &call{method: "GET", target: platform.LoadPath})
 	defer x.done()
 	if err != nil {
 		return x.failed(err)
@@ -510,7 +515,7 @@
 		return engine.Result{Outcome: decide.Error, Report: engine.Untold(), Err: fmt.Errorf("status %d", x.status)}
 	}
 	r := engine.Result{Outcome: decide.Served, Report: parseLoad(b)}
-	if v, n := x.head.Get(LoadHeader); n > 0 && r.Report == engine.Untold() {
+	if v, n := x.head.Get(platform.LoadHeader); n > 0 && r.Report == engine.Untold() {
 		r.Report = parseLoad([]byte(v))
 	}
 	return r
--- a/internal/engine/chat/chat_test.go
+++ b/internal/engine/chat/chat_test.go
@@ -17,6 +17,7 @@
 	"mintdoor/decide"
 	"mintdoor/internal/engine"
 	"mintdoor/internal/http1"
+	"mintdoor/internal/platform"
 
 	"go.uber.org/goleak"
 )
@@ -152,7 +153,7 @@
 	}{
 		{"read", whole("202 Accepted", `{"cached_tokens":4096}`), decide.ReadDone, false},
 		{"read, after 1xx", "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" + whole("202 Accepted", `{"cached_tokens":4096}`), decide.ReadDone, false},
-		{"read, report unreadable", whole("202 Accepted", `{"cached_tokens":4096}`, LoadHeader+": {x0"), decide.ReadDone, false},
+		{"read, report unreadable", whole("202 Accepted", `{"cached_tokens":4096}`, platform.LoadHeader+": {x0"), decide.ReadDone, false},
 		{"error", whole("500 x", "no"), decide.Error, false},
 		{"full", whole("503 x", "", unrun), decide.Full, false},
 		{"too late", whole("504 x", "", unrun), decide.Full, false},
@@ -231,14 +232,30 @@
 	}
 }
 
+// A stream that stops, or brings no event any more, is a broken one after a time, wherever it stops.
+func TestStreamsThatStop(t *testing.T) {
+	for name, after := range map[string]string{
+		"between events": "", "in a chunk": "50\r\ndata: ", "in a chunk's size": "5", "with comments alone": strings.Repeat(chunk(": x\n\n"), 3),
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := play(t, true, always(streamHead+chunk(eventA)+after))
+			c := newClient(t, func(o *Options) { o.StreamIdle = 20 * time.Millisecond })
+			res := c.Decode(t.Context(), p.addr, request(), func(string) error { return nil })
+			if res.Outcome != decide.Reset || res.Tokens != 1 || c.pool.idle.Len() != 0 {
+				t.Errorf("%+v, %d kept", res, c.pool.idle.Len())
+			}
+		})
+	}
+}
+
 // What the engine gets is the client's own, and the time for which the router waits.
 func TestPassedOnUnchanged(t *testing.T) {
 	p := play(t, true, always(whole("202 x", `{"cached_tokens":0}`)))
 	c := newClient(t, nil)
 	c.Prefill(t.Context(), p.addr, request())
 	h := p.heads[0]
-	id, _ := h.Get(IDHeader)
-	left, _ := h.Get(LeftHeader)
+	id, _ := h.Get(platform.IDHeader)
+	left, _ := h.Get(platform.LeftHeader)
 	if n, err := strconv.Atoi(left); h.Line != "POST /v1/chat/completions?a=b HTTP/1.1" || id != "id1" ||
 		p.bodies[0] != `{"x":1}` || err != nil || n < 1 || n > 60000 {
 		t.Errorf("%+v %q", h, p.bodies[0])
@@ -517,3 +534,25 @@
 		}
 	}
 }
+
+// What is kept by engine is gone with the engine, also when its last answer came after the word of its end.
+func TestNothingIsKeptOfEnginesThatLeft(t *testing.T) {
+	c := newClient(t, nil)
+	for i := range 50 {
+		addr := fmt.Sprintf("10.0.0.%d:1", i)
+		c.heard[addr] = time.Now()
+		c.pool.distrust(addr)
+		c.Forget(addr)
+		c.heard[addr] = time.Now()
+	}
+	for addr := range c.pool.doubt {
+		c.pool.doubt[addr] = time.Now().Add(-time.Millisecond)
+	}
+	c.expire(time.Now())
+	if len(c.heard) != 50 || len(c.pool.doubt) != 0 {
+		t.Errorf("%d heard, %d doubted", len(c.heard), len(c.pool.doubt))
+	}
+	if c.expire(time.Now().Add(2 * heardFor)); len(c.heard) != 0 {
+		t.Errorf("%d heard", len(c.heard))
+	}
+}
--- a/internal/engine/chat/events.go
+++ b/internal/engine/chat/events.go
@@ -10,6 +10,7 @@
 
 	"mintdoor/decide"
 	"mintdoor/internal/http1"
+	"mintdoor/internal/platform"
 )
 
 // events takes a stream of server-sent events apart and checks it, so that nothing spoilt reaches a client.
@@ -24,6 +25,8 @@
 
 // next returns the next event with data, as it came. io.EOF comes only after the last chunk.
 func (e *events) next() (string, error) {
+	// From event to event: what is neither, a drip of bytes or of comments, does not put the time off.
+	e.x.conn.SetReadDeadline(time.Now().Add(e.x.client.opts.StreamIdle))
 	for {
 		if i := bytes.Index(e.buf, blankLine); i >= 0 {
 			raw := e.buf[:i+len(blankLine)]
@@ -53,19 +56,8 @@
 	}
 }
 
-// fill reads more. Between chunks an engine may think, within one it may not.
+// fill reads more.
 func (e *events) fill() error {
-	c := e.x.conn
-	if c.br.Buffered() == 0 && !e.chunks.Within() {
-		c.SetReadDeadline(time.Now().Add(e.x.client.opts.StreamIdle))
-		if _, err := c.br.Peek(1); err != nil {
-			if err == io.EOF {
-				err = io.ErrUnexpectedEOF
-			}
-			return fmt.Errorf("stream: %w", err)
-		}
-	}
-	c.SetReadDeadline(time.Now().Add(partWithin))
 	n := len(e.buf)
 	if cap(e.buf)-n < 512 {
 		e.buf = append(make([]byte, 0, max(2*cap(e.buf), 1024)), e.buf...)
@@ -106,5 +98,5 @@
 
 func isEvents(contentType string) bool {
 	v, _, _ := strings.Cut(contentType, ";")
-	return strings.EqualFold(strings.TrimSpace(v), eventsType)
+	return strings.EqualFold(strings.TrimSpace(v), platform.EventsType)
 }
--- a/internal/front/chat/answer.go
+++ b/internal/front/chat/answer.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"mintdoor/internal/front"
+	"mintdoor/internal/platform"
 	"mintdoor/internal/router"
 )
 
@@ -83,7 +84,7 @@
 			if !begun {
 				begun = true
 				closes = closes || c.front.last.Load()
-				buf = append(buf, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nCache-Control: no-store\r\n"...)
+				buf = append(buf, "HTTP/1.1 200 OK\r\nContent-Type: "+platform.EventsType+"\r\nCache-Control: no-store\r\n"...)
 				if closes {
 					buf = append(buf, "Connection: close\r\n"...)
 				}
--- a/internal/front/chat/chat.go
+++ b/internal/front/chat/chat.go
@@ -21,29 +21,16 @@
 	"mintdoor/internal/engine"
 	"mintdoor/internal/front"
 	"mintdoor/internal/http1"
+	"mintdoor/internal/platform"
 	"mintdoor/internal/router"
 )
 
-// The protocol's paths and headers.
-const (
-	ReadyPath = "/up"
-	ChatPath  = "/v1/chat/completions"
-
-	IDHeader      = "X-Correlation-Id"
-	ClassHeader   = "X-Service-Class"
-	SessionHeader = "X-Session-Key"
-	LeftHeader    = "X-Time-Left-Ms"
-	FactsHeader   = "X-Facts"
-	RepeatHeader  = "X-Repeat"
-)
-
 // Bounds of what a client may send.
 const (
 	MaxBody    = 256 << 10
 	maxHead    = 16 << 10
 	maxName    = 64
 	maxTokens  = 1e7
-	maxLeft    = 10 * time.Minute
 	readBuffer = 4096
 	bytesToken = 4.0 // four characters make a token (PROTOCOL)
 )
@@ -175,12 +162,12 @@
 	f.conns.busy(c)
 	path, _, _ := strings.Cut(target, "?")
 	switch {
-	case path == ReadyPath && method == "GET":
+	case path == platform.ReadyPath && method == "GET":
 		if f.core.Ready() && !f.last.Load() {
 			return c.say(200, "", 0, closes)
 		}
 		return c.say(503, "not ready", 0, closes)
-	case path != ChatPath:
+	case path != platform.ChatPath:
 		return c.say(404, "no such path", 0, closes)
 	case method != "POST":
 		return c.say(405, "POST only", 0, closes)
@@ -281,19 +268,15 @@
 	return b, nil
 }
 
-func wrong(format string, args ...any) *front.Error {
-	return &front.Error{Trouble: front.Bad, Text: fmt.Sprintf(format, args...)}
-}
-
 // job is a request's meaning. now is when its last byte had come.
 func (f *Front) job(h *http1.Head, target string, body []byte, now time.Time) (*router.Job, *front.Error) {
 	one := func(name string) (string, *front.Error) {
 		v, n := h.Get(name)
 		if n > 1 {
-			return "", wrong("%s stands %d times", name, n)
+			return "", front.Wrong("%s stands %d times", name, n)
 		}
-		if len(v) > maxName && name != FactsHeader {
-			return "", wrong("%s is longer than %d bytes", name, maxName)
+		if len(v) > maxName && name != platform.FactsHeader {
+			return "", front.Wrong("%s is longer than %d bytes", name, maxName)
 		}
 		return v, nil
 	}
@@ -305,15 +288,15 @@
 		}
 		return v
 	}
-	id, class, left, facts := get(IDHeader), get(ClassHeader), get(LeftHeader), get(FactsHeader)
-	session, repeat := get(SessionHeader), get(RepeatHeader)
+	id, class, left, facts := get(platform.IDHeader), get(platform.ClassHeader), get(platform.LeftHeader), get(platform.FactsHeader)
+	session, repeat := get(platform.SessionHeader), get(platform.RepeatHeader)
 	switch {
 	case first != nil:
 		return nil, first
 	case !http1.Token(id): // it becomes part of a path
-		return nil, wrong("%s %.40q is no id", IDHeader, id)
+		return nil, front.Wrong("%s %.40q is no id", platform.IDHeader, id)
 	case !json.Valid(body):
-		return nil, wrong("the body is not JSON")
+		return nil, front.Wrong("the body is not JSON")
 	}
 	j := &router.Job{Name: id, ClientID: id, Class: -1, ClassName: class, Tenant: math.MaxInt, Session: session,
 		Message:      &engine.Message{Target: target, Body: body},
@@ -324,11 +307,11 @@
 		}
 	}
 	if j.Class < 0 {
-		return nil, wrong("there is no class %.40q", class)
+		return nil, front.Wrong("there is no class %.40q", class)
 	}
 	ms, err := strconv.ParseInt(left, 10, 64)
-	if err != nil || ms <= 0 || ms > maxLeft.Milliseconds() {
-		return nil, wrong("%s %.40q is no time that a client waits", LeftHeader, left)
+	if err != nil || ms <= 0 || ms > front.MaxDeadline.Milliseconds() {
+		return nil, front.Wrong("%s %.40q is no time that a client waits", platform.LeftHeader, left)
 	}
 	j.Deadline = now.Add(time.Duration(ms) * time.Millisecond)
 	if e := takeFacts(j, facts); e != nil {
@@ -345,11 +328,11 @@
 	for _, pair := range strings.Split(facts, ",") {
 		name, value, ok := strings.Cut(strings.TrimSpace(pair), "=")
 		if !ok {
-			return wrong("%s: %.40q has no '='", FactsHeader, pair)
+			return front.Wrong("%s: %.40q has no '='", platform.FactsHeader, pair)
 		}
 		if name == "prefix" {
 			if len(value) > maxName {
-				return wrong("%s: prefix is longer than %d bytes", FactsHeader, maxName)
+				return front.Wrong("%s: prefix is longer than %d bytes", platform.FactsHeader, maxName)
 			}
 			j.SharedText = value
 			continue
@@ -359,7 +342,7 @@
 		}
 		n, err := strconv.ParseFloat(value, 64)
 		if err != nil || !(n >= 0 && n <= maxTokens) {
-			return wrong("%s: %s is no length: %.40q", FactsHeader, name, value)
+			return front.Wrong("%s: %s is no length: %.40q", platform.FactsHeader, name, value)
 		}
 		switch name {
 		case "prompt_len":
--- a/internal/front/chat/chat_test.go
+++ b/internal/front/chat/chat_test.go
@@ -17,6 +17,7 @@
 	"mintdoor/decide"
 	"mintdoor/internal/discovery"
 	"mintdoor/internal/engine"
+	"mintdoor/internal/eventually"
 	"mintdoor/internal/router"
 
 	"go.uber.org/goleak"
@@ -115,13 +116,9 @@
 	return w
 }
 
-func (w *world) eventually(what string, ok func() bool) {
+func (w *world) eventually(what string, cond func() bool) {
 	w.t.Helper()
-	for deadline := time.Now().Add(20 * time.Second); !ok(); time.Sleep(time.Millisecond) {
-		if time.Now().After(deadline) {
-			w.t.Fatalf("never: %s", what)
-		}
-	}
+	eventually.Is(w.t, what, cond, func() any { return w.router.Stats() })
 }
 
 func (w *world) dial() (net.Conn, *bufio.Reader) {
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -43,7 +43,8 @@
 
 func (e *Error) Error() string { return e.Text }
 
-func bad(format string, args ...any) *Error {
+// Wrong says what is wrong with a request.
+func Wrong(format string, args ...any) *Error {
 	return &Error{Trouble: Bad, Text: fmt.Sprintf(format, args...)}
 }
 
@@ -76,8 +77,9 @@
 
 // Bounds of what a client may name.
 const (
-	maxName     = 256 // bytes of an id or a name
-	maxDeadline = 10 * time.Minute
+	maxName = 256 // bytes of an id or a name
+	// MaxDeadline is the longest that a client may wait.
+	MaxDeadline = 10 * time.Minute
 )
 
 // Meaning turns inputs into jobs by the settings. It is safe for concurrent use.
@@ -139,13 +141,13 @@
 		return nil, e
 	}
 	if err := in.Params.Check(); err != nil {
-		return nil, bad("%v", err)
+		return nil, Wrong("%v", err)
 	}
 	if len(in.ID) > maxName {
-		return nil, bad("id is longer than %d bytes", maxName)
+		return nil, Wrong("id is longer than %d bytes", maxName)
 	}
 	if in.Prompt == "" {
-		return nil, bad("the prompt is empty")
+		return nil, Wrong("the prompt is empty")
 	}
 	r := reader{p: in.Params}
 	j := &router.Job{ClientID: in.ID, Prompt: in.Prompt, Session: r.text(ParamSession),
@@ -161,7 +163,7 @@
 	}
 	if class != "" {
 		if j.Class = m.set.ClassIndex(class); j.Class < 0 {
-			return nil, bad("parameter %q: there is no class %q", ParamClass, clip(class))
+			return nil, Wrong("parameter %q: there is no class %q", ParamClass, clip(class))
 		}
 	}
 	c := &m.set.Classes[j.Class]
@@ -172,27 +174,27 @@
 	j.Tenant = len(m.set.Tenants)
 	if tenant != "" {
 		if j.Tenant = m.set.TenantIndex(tenant); j.Tenant < 0 {
-			return nil, bad("parameter %q: there is no tenant %q", ParamTenant, clip(tenant))
+			return nil, Wrong("parameter %q: there is no tenant %q", ParamTenant, clip(tenant))
 		}
 		j.TenantName = tenant
 	}
 	out := r.number(ParamMaxTokens, float64(c.MaxTokens))
 	if r.err != nil {
-		return nil, bad("%v", r.err)
+		return nil, Wrong("%v", r.err)
 	}
 	if out < 1 || out != float64(int(out)) {
-		return nil, bad("parameter %q must be a whole number from 1", ParamMaxTokens)
+		return nil, Wrong("parameter %q must be a whole number from 1", ParamMaxTokens)
 	}
 	j.MaxTokens = int(out)
 	if j.PromptTokens+out > m.set.MaxContext {
-		return nil, bad("prompt of %.0f tokens and answer of up to %.0f are more than the engines' context of %.0f",
+		return nil, Wrong("prompt of %.0f tokens and answer of up to %.0f are more than the engines' context of %.0f",
 			j.PromptTokens, out, m.set.MaxContext)
 	}
 	j.Hint = time.Duration(hint * float64(c.TokenAim))
 	// Without a word of the client the class's deadline holds, and long prompts get twice what their aim gets.
 	patience := time.Duration(float64(c.Deadline) + 2*float64(c.AimPerK)*j.PromptTokens/1000)
 	if within > 0 {
-		patience = time.Duration(min(within*1e6, float64(maxDeadline)))
+		patience = time.Duration(min(within*1e6, float64(MaxDeadline)))
 	}
 	if in.Within > 0 {
 		patience = min(patience, in.Within)
--- a/internal/http1/http1.go
+++ b/internal/http1/http1.go
@@ -213,9 +213,6 @@
 // NewChunks returns a reader of the chunks in br, none of them over max bytes.
 func NewChunks(br *bufio.Reader, max int64) *Chunks { return &Chunks{br: br, max: max} }
 
-// Within tells whether the next byte is to come from a chunk that has begun.
-func (c *Chunks) Within() bool { return c.open }
-
 // Read implements io.Reader. It never crosses from one chunk into the next, and returns io.EOF only after
 // the last chunk and its trailer.
 func (c *Chunks) Read(p []byte) (int, error) {
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -20,6 +20,7 @@
 	"mintdoor/decide"
 	"mintdoor/internal/discovery"
 	"mintdoor/internal/discovery/watch"
+	"mintdoor/internal/eventually"
 	"mintdoor/internal/router"
 
 	"go.uber.org/goleak"
@@ -140,18 +141,12 @@
 	return len(p.holds[reader])
 }
 
-const settingsJSON = `{"instances":1,"index":0,"zone":0,"dcs":["a"],"hostTypes":["prefill","decode"],
- "membershipMode":"push","feedback":{"how":"pull","names":["lat_ms","x0","x1"]},
- "familyInfo":{"letGoByNs":1000000000,"kindRole":["read","write"],"tokensByKind":[277530,138916],"tokenAimNs":[60000000],"aimUsPer1000PromptTokens":[40000]},
- "fees":{"probe":0.0026},
- "obligations":{"graceToAnswerNs":16000000,"drainGraceNs":1000000000,"fallMultiple":2.5,"overloadForNs":1000000000,"startCapacity":0.27,"coldNs":14000000000},
- "permissions":{"probing":true,"mayCancel":true,"maxAttempts":6,"dialTimeoutNs":250000000,"retryAfter":true,"maxRetryAfterNs":500000000,"connIdleNs":15000000000},
- "requestClasses":[{"name":"price-ask","aimNs":1200000000,"deadlineNs":30000000000,"value":1,"repeat":"safe"}]}`
-
-func configJSON(discovery string) string {
-	return fmt.Sprintf(`{"name":"n3","listen":"127.0.0.1:0","discovery":%q,"seed":"8c1f30d27a5be964",
- "limits":{"cores":1.0,"memory_mb":2048,"sockets":256},"known":{"revision":0,"complete":true,"members":[]},"settings":%s}`,
-		discovery, settingsJSON)
+func configJSON(t *testing.T, discovery string) string {
+	b, err := os.ReadFile("testdata/config.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return strings.Replace(string(b), "DISCOVERY", discovery, 1)
 }
 
 func none(string) string { return "" }
@@ -191,7 +186,7 @@
 
 func start(t *testing.T) *world {
 	p := newPlatform(t)
-	cfg, err := parse([]byte(configJSON(p.agent.Listener.Addr().String())), none)
+	cfg, err := parse([]byte(configJSON(t, p.agent.Listener.Addr().String())), none)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -215,13 +210,9 @@
 	return w
 }
 
-func (w *world) eventually(what string, ok func() bool) {
+func (w *world) eventually(what string, cond func() bool) {
 	w.t.Helper()
-	for deadline := time.Now().Add(20 * time.Second); !ok(); time.Sleep(time.Millisecond) {
-		if time.Now().After(deadline) {
-			w.t.Fatalf("never: %s", what)
-		}
-	}
+	eventually.Is(w.t, what, cond, func() any { return w.node.Router.Stats() })
 }
 
 type client struct {
@@ -345,7 +336,7 @@
 	w.node.Reload()
 	other := w.newAgent()
 	defer other.Close()
-	if err := os.WriteFile(path, []byte(configJSON(other.Listener.Addr().String())), 0o600); err != nil {
+	if err := os.WriteFile(path, []byte(configJSON(t, other.Listener.Addr().String())), 0o600); err != nil {
 		t.Fatal(err)
 	}
 	w.mu.Lock()
@@ -368,7 +359,7 @@
 }
 
 func TestConfig(t *testing.T) {
-	good := configJSON("d:1")
+	good := configJSON(t, "d:1")
 	c, err := parse([]byte(good), none)
 	if err != nil || c.Name != "n3" || c.Discovery != "d:1" || c.Seed != 0x8c1f30d27a5be964 || c.Sockets != 256 || c.MemoryMB != 2048 {
 		t.Fatalf("%+v %v", c, err)
--- /dev/null
+++ b/internal/platform/platform.go
@@ -0,0 +1,25 @@
+// Package platform has the names of the platform's protocol that its front and its engines' client share.
+package platform
+
+// The paths.
+const (
+	ReadyPath = "/up"
+	ChatPath  = "/v1/chat/completions"
+	HoldsPath = "/v1/holds/"
+	LoadPath  = "/metrics/load"
+)
+
+// The headers.
+const (
+	IDHeader      = "X-Correlation-Id"
+	ClassHeader   = "X-Service-Class"
+	SessionHeader = "X-Session-Key"
+	LeftHeader    = "X-Time-Left-Ms"
+	FactsHeader   = "X-Facts"
+	RepeatHeader  = "X-Repeat"      // 1: a client's retry; again: it asks for the rest of a broken stream
+	UnrunHeader   = "X-Unprocessed" // 1: nothing of the request has run
+	LoadHeader    = "X-Backend-Load"
+)
+
+// EventsType is the type of a stream of events.
+const EventsType = "text/event-stream"
--- a/internal/router/actions.go
+++ b/internal/router/actions.go
@@ -77,7 +77,7 @@
 		}
 		r.answer(f, e)
 	case decide.Release:
-		r.release(f)
+		r.keep.release(f)
 	case decide.Move:
 		if f.out != nil && f.out.streaming && !f.answered {
 			r.answer(f, Ending{Kind: Moved, Reason: "go on elsewhere"})
@@ -115,9 +115,7 @@
 	}
 	a.limit = r.timers.add(&entry{at: at, attempt: a})
 	r.fill(a, f)
-	if a.call.Params.Handle != "" && r.cfg.Holds == Leased {
-		a.renewal = r.timers.add(&entry{at: r.now + r.renewEvery(), renew: a})
-	}
+	r.keep.sent(a)
 	r.count.sends.Add(1)
 	r.log.Debug("attempt", "request", f.name, "attempt", a.number, "engine", s.name, "stage", a.call.Params.Stage,
 		"within", time.Duration(at-r.now))
@@ -130,7 +128,7 @@
 	j := &f.q.job
 	a.call = engine.Call{ID: f.name + "." + strconv.Itoa(a.number), Model: r.cfg.Model, Message: j.Message,
 		Once:  !a.prefill && r.cfg.Settings.Classes[j.Class].Repeat == decide.Unsafe,
-		Until: r.start.Add(time.Duration(a.limit.at - decide.Time(r.start.UnixNano()))), Params: engine.Params{
+		Until: r.wall(a.limit.at), Params: engine.Params{
 			Stage: engine.StageDecode, Request: f.name, Client: j.ClientID, Class: j.ClassName, Tenant: j.TenantName,
 			Session: j.Session, SharedText: j.SharedText, PromptTokens: j.PromptTokens,
 			SharedTokens: j.SharedTokens, MaxTokens: j.MaxTokens,
@@ -146,7 +144,7 @@
 	}
 	if p := f.place; p != nil && !a.prefill && p.server != a.server {
 		f.place = nil // a send to another writer gives the place up
-		r.giveUpPlace(f, p)
+		r.keep.unwanted(f, p)
 	}
 }
 
@@ -160,11 +158,8 @@
 	} else {
 		res = r.cfg.Engines.Decode(a.ctx, a.addr, &a.call, r.sink(a))
 	}
-	if a.prefill && !answered(res.Outcome) && r.cfg.Holds == Leased {
-		r.callOff(a.addr, a.call.Params.Request)
-	}
 	if !r.post(message{kind: attemptEnded, a: a, res: res}) {
-		r.orphaned(a.addr, &a.call, &res)
+		r.keep.orphaned(a, &res)
 	}
 }
 
@@ -173,36 +168,6 @@
 	return o == decide.ReadDone || o == decide.Full || o == decide.ConnectFailed || o == decide.Moot
 }
 
-// callOff sees to a read that was given up: its engine may have finished it in the same moment, and nobody
-// knows that state's name.
-func (r *Router) callOff(addr, request string) {
-	r.work.Add(1)
-	go func() {
-		defer r.work.Done()
-		if err := r.cfg.Engines.CallOff(r.workCtx, addr, request); err != nil {
-			r.log.Warn("a read was not called off; the engine lets go by itself", "request", request, "engine", addr,
-				"err", err)
-		}
-	}()
-}
-
-// orphaned lets go of what an attempt leaves when the loop has stopped: nobody else will.
-func (r *Router) orphaned(addr string, call *engine.Call, res *engine.Result) {
-	s := res.State
-	if r.cfg.Holds == ByRequest && res.Outcome != decide.Served {
-		s = &engine.State{Addr: addr, Handle: call.Params.Request}
-	}
-	if s == nil && call.Params.Handle != "" && res.Outcome != decide.Served {
-		s = &engine.State{Addr: call.Params.Source, Handle: call.Params.Handle}
-	}
-	if s != nil {
-		r.count.releases.Add(1)
-		if err := r.cfg.Engines.Release(r.workCtx, s); err != nil {
-			r.log.Warn("release failed; the engine lets go by itself", "engine", s.Addr, "err", err)
-		}
-	}
-}
-
 // sink hands tokens on to the request's front. The first asks the loop, so that a first token and a
 // time-out at the same moment can't both win.
 func (r *Router) sink(a *attempt) func(string) error {
@@ -241,96 +206,6 @@
 	}
 }
 
-// renewEvery is the time between renewals: two may be lost before the engine lets go.
-func (r *Router) renewEvery() decide.Duration { return max(r.cfg.Settings.LetGoWithin/3, 1) }
-
-// renew keeps a state while an attempt at a writer is out and has not begun. An engine lets go of what
-// nobody asks for within the time of rule 5, so that a dead router pins nothing; a writer that is silent
-// does not claim the state, and the next writer needs it.
-func (r *Router) renew(a *attempt) {
-	f := a.flight
-	if a.ended || a.streaming || f.out != a || f.state == nil {
-		return
-	}
-	a.renewal = r.timers.add(&entry{at: r.now + r.renewEvery(), renew: a})
-	s := f.state
-	r.work.Add(1)
-	go func() {
-		defer r.work.Done()
-		if err := r.cfg.Engines.Renew(r.workCtx, s); err != nil {
-			r.log.Debug("a state was not renewed", "request", f.name, "engine", s.Addr, "err", err)
-		}
-	}()
-}
-
-// release lets go of what is held for a request and no attempt is waiting on.
-func (r *Router) release(f *flight) {
-	if r.cfg.Holds == ByRequest {
-		if f.owed = f.owed || f.state != nil || f.place != nil; f.out == nil {
-			f.place = nil // a state stays known by its engine, for letGo
-		}
-		return
-	}
-	using := f.out != nil && !f.out.prefill
-	if s := f.state; s != nil && !using {
-		f.state = nil
-		r.letGoOf(f.name, s)
-	}
-	if p := f.place; p != nil && !(using && f.out.server == p.server) {
-		f.place = nil
-		r.giveUpPlace(f, p)
-	}
-}
-
-// letGo lets go of all that may be held for a request that is over.
-func (r *Router) letGo(f *flight) {
-	if r.cfg.Holds == Leased {
-		r.release(f)
-		return
-	}
-	switch {
-	case f.unsure != "": // also lets go of what is known
-		r.count.releases.Add(1)
-		r.callOff(f.unsure, f.name)
-	case f.state != nil:
-		r.letGoOf(f.name, f.state)
-	case f.place != nil:
-		r.letGoOf(f.name, &engine.State{Addr: f.place.addr, Handle: f.name})
-	case f.owed:
-		r.letGoOf(f.name, &engine.State{Handle: f.name}) // any engine will do
-	}
-	f.unsure, f.state, f.place, f.owed = "", nil, nil, false
-}
-
-func (r *Router) letGoOf(request string, s *engine.State) {
-	r.count.releases.Add(1)
-	r.work.Add(1)
-	go func() {
-		defer r.work.Done()
-		if err := r.cfg.Engines.Release(r.workCtx, s); err != nil {
-			r.log.Warn("release failed; the engine lets go by itself", "request", request, "engine", s.Addr, "err", err)
-		}
-	}()
-}
-
-func (r *Router) giveUpPlace(f *flight, p *place) {
-	if r.cfg.Holds == ByRequest {
-		f.owed = true
-		return
-	}
-	r.dropPlace(f.name, p)
-}
-
-func (r *Router) dropPlace(request string, p *place) {
-	r.work.Add(1)
-	go func() {
-		defer r.work.Done()
-		if err := r.cfg.Engines.GiveUpPlace(r.workCtx, p.addr, request); err != nil {
-			r.log.Warn("a place was not given up; the engine lets go by itself", "request", request, "err", err)
-		}
-	}()
-}
-
 // probe asks an engine for its load.
 func (r *Router) probe(id decide.ServerID) {
 	s := r.servers[id]
@@ -356,7 +231,7 @@
 		return // as the module's interface has it: no answer then
 	}
 	if f.place != nil {
-		r.giveUpPlace(f, f.place)
+		r.keep.unwanted(f, f.place)
 	}
 	p := &place{server: id, addr: s.addr}
 	f.place = p
@@ -378,16 +253,12 @@
 func (r *Router) placed(m *message) {
 	f := r.table.rows[m.id]
 	if f == nil || f.place != m.place { // given up meanwhile; the first word may have come too early
-		switch {
-		case f != nil && r.cfg.Holds == ByRequest:
-			f.owed = true
-		case m.held:
-			r.dropPlace(m.name, m.place)
-		}
+		r.keep.lateWord(f, m)
 		return
 	}
 	if m.place.held = m.held; !m.held {
-		f.place, f.owed = nil, true // "not held" may mean that nobody knows
+		f.place = nil
+		r.keep.lateWord(f, m)
 	}
 	if f.out != nil && f.out.prefill {
 		r.tell(&decide.Event{Kind: decide.PlaceAnswer, Request: f.id, Server: m.server, Attempt: f.out.number,
--- a/internal/router/loop.go
+++ b/internal/router/loop.go
@@ -103,7 +103,7 @@
 				a.cancel(engine.ErrTimedOut) // its outcome comes as any other
 			}
 		case e.renew != nil:
-			r.renew(e.renew)
+			r.keep.renew(e.renew)
 		case e.flight != nil:
 			r.overdue(e.flight)
 		case e.generation == r.generation:
@@ -192,17 +192,22 @@
 	}}, f)
 }
 
+// takeBack books in the row that an attempt has ended.
+func (r *Router) takeBack(a *attempt, res *engine.Result) {
+	a.ended = true
+	a.flight.end(a, res)
+	if a.prefill && !answered(res.Outcome) {
+		r.keep.lost(a.flight, a.addr)
+	}
+}
+
 // attemptEnded books an attempt's outcome and tells it. The module hears of it also when the request has
 // its answer already, since its books still hold the attempt.
 func (r *Router) attemptEnded(a *attempt, res *engine.Result) {
 	f := a.flight
-	a.ended = true
 	r.timers.remove(a.limit)
 	r.timers.remove(a.renewal)
-	f.end(a, res)
-	if a.prefill && !answered(res.Outcome) {
-		f.unsure = a.addr
-	}
+	r.takeBack(a, res)
 	if o := r.cfg.Observe; o != nil {
 		if res.Outcome == decide.ReadDone {
 			o.Read(&f.q.job, res.Kept)
@@ -371,7 +376,7 @@
 	if !f.over() || r.table.rows[f.id] != f {
 		return
 	}
-	r.letGo(f)
+	r.keep.over(f)
 	r.timers.remove(f.guard)
 	r.table.remove(f)
 	r.unclaim(f.q.job.Name)
@@ -417,11 +422,7 @@
 			case firstToken:
 				m.a.granted <- false
 			case attemptEnded:
-				m.a.ended = true
-				m.a.flight.end(m.a, &m.res)
-				if m.a.prefill && !answered(m.res.Outcome) {
-					m.a.flight.unsure = m.a.addr
-				}
+				r.takeBack(m.a, &m.res)
 				if m.a.streaming {
 					r.endStream(m.a.flight, m.a, &m.res)
 				}
@@ -436,11 +437,7 @@
 		if f.out != nil {
 			f.out.cancel(engine.ErrCancelled)
 		}
-		if f.out == nil { // else its attempt is orphaned and sees to it
-			r.letGo(f)
-		} else {
-			r.release(f)
-		}
+		r.keep.over(f)
 		r.unclaim(f.q.job.Name)
 		r.count.open.Add(-1)
 	}
@@ -456,7 +453,7 @@
 	}
 	for len(r.mail) > 0 { // posted in the moment of quit
 		if m := <-r.mail; m.kind == attemptEnded {
-			r.orphaned(m.a.addr, &m.a.call, &m.res)
+			r.keep.orphaned(m.a, &m.res)
 		}
 	}
 	r.endWork()
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -40,19 +40,6 @@
 	Forget(addr string)
 }
 
-// Holds tells how engines hold what waits for a request between its stages.
-type Holds uint8
-
-const (
-	// Leased states have handles of their own and are held for a time that the router renews. Each is let go
-	// as soon as the module says so.
-	Leased Holds = iota
-	// ByRequest: all that is held stands under the request's one id until it is let go. Letting go takes
-	// whatever is there when the call arrives, also what a later attempt has just read, so it waits until the
-	// request is over. Until then an attempt is out, and the time of rule 5 rests.
-	ByRequest
-)
-
 // Observer is told what is asked and what it takes. It is called from the loop and must not block.
 type Observer interface {
 	Arrived(j *Job)
@@ -125,6 +112,7 @@
 	generation int
 	now        decide.Time
 	table      table
+	keep       keeper
 	timers     timers
 	servers    map[decide.ServerID]*server
 	list       []discovery.Engine
@@ -162,6 +150,9 @@
 		open:  map[string]bool{},
 		drain: make(chan struct{}), table: newTable(), servers: map[decide.ServerID]*server{},
 	}
+	if r.keep = (leased{r}); cfg.Holds == ByRequest {
+		r.keep = byRequest{r}
+	}
 	r.name = cfg.Name + "-" + formatID(uint64(r.start.UnixNano()))
 	r.workCtx, r.endWork = context.WithCancel(context.Background())
 	return r
@@ -180,6 +171,11 @@
 	return decide.Time(r.start.UnixNano()) + decide.Time(t.Sub(r.start))
 }
 
+// wall is at's other way round.
+func (r *Router) wall(t decide.Time) time.Time {
+	return r.start.Add(time.Duration(t - decide.Time(r.start.UnixNano())))
+}
+
 // Submit takes a request. With an error it was not taken and nothing of it has run; else the caller reads
 // it with Next to its ending.
 func (r *Router) Submit(job *Job) (*Request, error) {
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -12,6 +12,7 @@
 	"mintdoor/decide"
 	"mintdoor/internal/discovery"
 	"mintdoor/internal/engine"
+	"mintdoor/internal/eventually"
 
 	"go.uber.org/goleak"
 	_ "mintdoor/internal/seeded"
@@ -217,11 +218,7 @@
 // eventually waits for a condition.
 func (g *rig) eventually(what string, cond func() bool) {
 	g.t.Helper()
-	for end := time.Now().Add(20 * time.Second); !cond(); time.Sleep(time.Millisecond) {
-		if time.Now().After(end) {
-			g.t.Fatalf("not seen: %s; %+v", what, g.Stats())
-		}
-	}
+	eventually.Is(g.t, what, cond, func() any { return g.Stats() })
 }
 
 func TestServed(t *testing.T) {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -230,9 +230,15 @@
 	if !ok {
 		return def
 	}
+	return p.number(path, v)
+}
+
+// number reads one number of a path's value.
+func (p *pairs) number(path, v string) float64 {
 	f, err := strconv.ParseFloat(v, 64)
 	if err != nil || math.IsNaN(f) || math.IsInf(f, 0) {
-		p.fail(path, v)
+		p.fail(path, p.values[path])
+		return 0
 	}
 	return f
 }
@@ -266,12 +272,7 @@
 func (p *pairs) numbers(path string) []float64 {
 	var out []float64
 	for _, v := range p.list(path) {
-		f, err := strconv.ParseFloat(v, 64)
-		if err != nil || math.IsNaN(f) || math.IsInf(f, 0) {
-			p.fail(path, p.values[path])
-			return nil
-		}
-		out = append(out, f)
+		out = append(out, p.number(path, v))
 	}
 	return out
 }
