--- a/internal/discovery/watch/watch_test.go
+++ b/internal/discovery/watch/watch_test.go
@@ -181,6 +181,7 @@
 	a := newAgent(t, list(41, true, member("s1", "h:1", "up", 0)))
 	b := newAgent(t, list(42, true, member("s2", "h:2", "up", 0)))
 	s := New(a.addr(), []string{"m2"}, nil, quiet())
+	s.wait = time.Hour
 	told := run(t, s)
 	if got := next(t, told); got != "s1 h:1 up 0" {
 		t.Fatal(got)
--- a/internal/engine/chat/chat.go
+++ b/internal/engine/chat/chat.go
@@ -63,11 +63,13 @@
 
 	mu    sync.Mutex
 	heard map[string]time.Time // when an engine answered last
+
+	readEnds time.Duration
 }
 
 // New returns a client. Run looks after its idle connections.
 func New(opts Options) *Client {
-	return &Client{opts: opts, heard: map[string]time.Time{}, pool: &pool{dialTimeout: opts.DialTimeout,
+	return &Client{opts: opts, readEnds: readEnds, heard: map[string]time.Time{}, pool: &pool{dialTimeout: opts.DialTimeout,
 		keep: opts.ConnIdle, standsAfter: standsAfter, most: opts.MaxConns, spare: opts.SpareConns}}
 }
 
@@ -237,12 +239,12 @@
 	return nil
 }
 
-// done gives the connection back if the answer has left it clean.
+// done gives the connection back after a whole answer. Whether something came behind it shows when it is taken.
 func (x *exchange) done() {
 	if x.conn == nil {
 		return
 	}
-	if x.stop() && x.whole && !x.interim && !x.head.Closes() && x.conn.br.Buffered() == 0 {
+	if x.stop() && x.whole && !x.interim && !x.head.Closes() {
 		x.client.pool.put(x.conn)
 		return
 	}
@@ -421,7 +423,7 @@
 func (c *Client) CallOff(ctx context.Context, addr, request string) error {
 	select {
 	case <-ctx.Done():
-	case <-time.After(readEnds):
+	case <-time.After(c.readEnds):
 	}
 	return c.letGo(ctx, addr, request)
 }
--- a/internal/engine/chat/chat_test.go
+++ b/internal/engine/chat/chat_test.go
@@ -164,7 +164,7 @@
 		{"closed", "", decide.Reset, false},
 		{"noise", "\x00\x01\x02noise\r\n\r\n", decide.Reset, false},
 		{"head without end", "HTTP/1.1 202 OK\r\n" + strings.Repeat("X: "+strings.Repeat("y", 1000)+"\r\n", 100), decide.Reset, false},
-		{"1xx without end", strings.Repeat("HTTP/1.1 100 Continue\r\n\r\n", 100), decide.Reset, false},
+		{"1xx without end", strings.Repeat("HTTP/1.1 100 Continue\r\n\r\n", 100) + whole("202 x", "{}"), decide.Reset, false},
 		{"half a body", "HTTP/1.1 202 x\r\nContent-Length: 500\r\n\r\n{", decide.Reset, false},
 		{"no JSON", whole("202 x", "<html>"), decide.Reset, false},
 		{"body too large", "HTTP/1.1 202 x\r\nContent-Length: 3000000000\r\n\r\n{", decide.Reset, false},
@@ -204,7 +204,7 @@
 		{"chunk size is noise", streamHead + chunk(eventA) + "zz\r\n" + eventA, decide.Reset, 1},
 		{"chunk size is too small", streamHead + chunk(eventA) + "5\r\n" + eventA + "\r\n" + lastChunk, decide.Reset, 1},
 		{"chunk of 3 GB", streamHead + chunk(eventA) + "c0000000\r\n" + strings.Repeat("x", 1<<17), decide.Reset, 1},
-		{"endless event", streamHead + strings.Repeat(chunk("data: "+strings.Repeat("x", 1<<14)), 8), decide.Reset, 0},
+		{"endless event", streamHead + chunk(": ") + strings.Repeat(chunk(strings.Repeat("x", 1<<14)), 8) + chunk("\n\n"+eventA) + lastChunk, decide.Reset, 0},
 		{"not in chunks", whole("200 OK", eventA, "Content-Type: text/event-stream"), decide.Reset, 0},
 		{"not a stream", whole("200 OK", "{}", "Content-Type: application/json"), decide.Reset, 0},
 		{"state gone", whole("410 x", "", unrun), decide.Full, 0},
@@ -510,6 +510,19 @@
 	}
 }
 
+// A read that was given up is called off only when it has had time to end: a call that overtakes the closing of
+// its connection finds nothing, and what the read then leaves stays.
+func TestCallOffWaitsForTheReadsEnd(t *testing.T) {
+	p := play(t, true, always("HTTP/1.1 204 x\r\n\r\n"))
+	c := newClient(t, nil)
+	c.readEnds = time.Hour
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
+	defer cancel()
+	if err := c.CallOff(ctx, p.addr, "id1"); err == nil || p.requests() != 0 {
+		t.Errorf("%v, %d calls", err, p.requests())
+	}
+}
+
 func TestProbesAndPlaces(t *testing.T) {
 	answers := map[string]string{
 		"GET /metrics/load HTTP/1.1":  whole("200 OK", `{"latency_ms":12,"x0":0.5,"x1":3}`),
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -32,6 +32,7 @@
 	front    *front.Front
 	listener net.Listener
 	parts    *assembly.Parts
+	arrivals time.Duration
 }
 
 // Times of the transport; every time that decides something is the module's.
@@ -74,7 +75,7 @@
 	}
 	set := cfg.Settings
 	b := share(cfg.Sockets)
-	n := &Node{cfg: cfg, log: log, listener: listener}
+	n := &Node{cfg: cfg, log: log, listener: listener, arrivals: arrivals}
 	n.source = watch.New(cfg.Discovery, set.Kinds, cfg.Known, log)
 	connIdle := time.Duration(set.ConnIdle)
 	n.engines = engines.New(engines.Options{DialTimeout: time.Duration(set.Decide.DialTimeout),
@@ -132,9 +133,9 @@
 // finish answers what is open and what still comes, each on the last use of its connection.
 func (n *Node) finish(ctx context.Context, unlisten, _ func()) {
 	n.log.Info("draining", "open", n.Router.Stats().Open, "connections", n.front.Conns())
-	look := time.NewTicker(arrivals / 20)
+	look := time.NewTicker(n.arrivals / 20)
 	defer look.Stop()
-	for until := time.Now().Add(arrivals); time.Now().Before(until) || n.front.Conns() > 0; {
+	for until := time.Now().Add(n.arrivals); time.Now().Before(until) || n.front.Conns() > 0; {
 		n.front.Last() // also those that became idle meanwhile
 		select {
 		case <-ctx.Done():
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -14,6 +14,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -38,7 +39,6 @@
 	out    map[string]int             // by engine: requests that are open there
 	holds  map[string]map[string]bool // by engine: states that wait
 	reads  int
-	asked  int // of discovery
 	listed []watch.Member
 }
 
@@ -62,22 +62,22 @@
 		{ID: "s1", Addr: reader + ":" + port, Zone: "a", Kind: "prefill", Cell: 1, Phase: watch.Up, Size: 1},
 		{ID: "s2", Addr: writer + ":" + port, Zone: "a", Kind: "decode", Cell: 1, Phase: watch.Up, Size: 1},
 	}
-	p.agent = p.newAgent()
+	p.agent, _ = p.newAgent()
 	t.Cleanup(func() { p.CloseClientConnections(); p.Close(); p.agent.CloseClientConnections(); p.agent.Close() })
 	return p
 }
 
-func (p *platform) newAgent() *httptest.Server {
+// newAgent is discovery at an address of its own; asked counts the calls that it gets.
+func (p *platform) newAgent() (s *httptest.Server, asked *atomic.Int64) {
+	asked = new(atomic.Int64)
 	return httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		p.mu.Lock()
-		p.asked++
-		p.mu.Unlock()
+		asked.Add(1)
 		if r.URL.RawQuery != "" { // nothing changes
 			<-r.Context().Done()
 			return
 		}
 		json.NewEncoder(w).Encode(watch.List{Revision: 1, Complete: true, Members: p.listed})
-	}))
+	})), asked
 }
 
 func (p *platform) serve(w http.ResponseWriter, r *http.Request) {
@@ -182,22 +182,44 @@
 	spy  *spy
 	done chan error
 	stop context.CancelFunc
+	log  *logText
+}
+
+// logText is a log that a test reads.
+type logText struct {
+	mu sync.Mutex
+	b  strings.Builder
+}
+
+func (l *logText) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.Write(p)
 }
 
-func start(t *testing.T) *world {
+func (l *logText) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.String()
+}
+
+func start(t *testing.T, change func(*Node)) *world {
 	p := newPlatform(t)
 	cfg, err := parse([]byte(configJSON(t, p.agent.Listener.Addr().String())), none)
 	if err != nil {
 		t.Fatal(err)
 	}
-	w := &world{platform: p, t: t, spy: &spy{}, done: make(chan error, 1)}
-	w.node, err = newNode(cfg, slog.New(slog.DiscardHandler), func(set *decide.Settings, seed uint64, now decide.Time) router.Decider {
+	w := &world{platform: p, t: t, spy: &spy{}, done: make(chan error, 1), log: &logText{}}
+	w.node, err = newNode(cfg, slog.New(slog.NewTextHandler(w.log, nil)), func(set *decide.Settings, seed uint64, now decide.Time) router.Decider {
 		w.spy.inner = decide.New(set, seed, now)
 		return w.spy
 	})
 	if err != nil {
 		t.Fatal(err)
 	}
+	if change != nil {
+		change(w.node)
+	}
 	ctx, stop := context.WithCancel(context.Background())
 	w.stop = stop
 	go func() { w.done <- w.node.Run(ctx); close(w.done) }()
@@ -250,7 +272,7 @@
 // What the module's books say of each engine is what is open on its sockets: while requests wait at a writer,
 // after they were served, and after their clients left.
 func TestBooksAgainstSockets(t *testing.T) {
-	w := start(t)
+	w := start(t, nil)
 	var clients []*client
 	for i := range 5 {
 		c := w.dial()
@@ -284,7 +306,7 @@
 
 // SIGTERM: what is open and what still comes is answered, then the program ends by itself.
 func TestDrain(t *testing.T) {
-	w := start(t)
+	w := start(t, nil)
 	open, idle, fresh := w.dial(), w.dial(), w.dial()
 	w.gate <- true
 	idle.ask("a")
@@ -321,9 +343,33 @@
 	}
 }
 
+// However long a stream runs, its end is waited for, and whoever comes meanwhile gets a word.
+func TestDrainWaitsForStreams(t *testing.T) {
+	w := start(t, func(n *Node) { n.arrivals = 20 * time.Microsecond })
+	c := w.dial()
+	c.ask("a")
+	w.eventually("open", func() bool { return w.open(writer) == 1 })
+	w.node.Drain()
+	w.eventually("it drains", func() bool { return strings.Contains(w.log.String(), "msg=draining") })
+	for range 20 {
+		other := w.dial()
+		io.WriteString(other, "GET /up HTTP/1.1\r\nHost: a\r\n\r\n")
+		if code, closes := other.answer(t); code != 503 || !closes {
+			t.Fatalf("/up: %d", code)
+		}
+	}
+	w.gate <- true
+	if code, _ := c.answer(t); code != 200 {
+		t.Errorf("status %d", code)
+	}
+	if err := <-w.done; err != nil {
+		t.Error(err)
+	}
+}
+
 // SIGHUP: discovery moves; a file that is missing or malformed changes nothing. No request is lost by either.
 func TestReload(t *testing.T) {
-	w := start(t)
+	w := start(t, nil)
 	path := filepath.Join(t.TempDir(), "config.json")
 	t.Setenv(EnvConfig, path)
 	c := w.dial()
@@ -334,21 +380,16 @@
 		t.Fatal(err)
 	}
 	w.node.Reload()
-	other := w.newAgent()
+	if text := w.log.String(); strings.Count(text, "not taken") != 2 || strings.Contains(text, "discovery moves") {
+		t.Errorf("bad files were taken:\n%s", text)
+	}
+	other, asked := w.newAgent()
 	defer other.Close()
 	if err := os.WriteFile(path, []byte(configJSON(t, other.Listener.Addr().String())), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	w.mu.Lock()
-	before := w.asked
-	w.mu.Unlock()
-	w.agent.CloseClientConnections()
 	w.node.Reload()
-	w.eventually("the other is asked", func() bool {
-		w.mu.Lock()
-		defer w.mu.Unlock()
-		return w.asked > before
-	})
+	w.eventually("the other is asked", func() bool { return asked.Load() > 0 })
 	w.gate <- true
 	if code, closes := c.answer(t); code != 200 || closes {
 		t.Errorf("%d %v", code, closes)
--- a/internal/router/holds_test.go
+++ b/internal/router/holds_test.go
@@ -3,10 +3,13 @@
 import (
 	"context"
 	"errors"
+	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"mintdoor/decide"
+	"mintdoor/internal/discovery"
 	"mintdoor/internal/engine"
 )
 
@@ -28,6 +31,7 @@
 	}{
 		{"served", []decide.Outcome{decide.ReadDone}, decide.Served, 0, 0},
 		{"a read given up, then served", []decide.Outcome{decide.TimedOut, decide.ReadDone}, decide.Served, 0, 0},
+		{"a read given up, then a stream that broke", []decide.Outcome{decide.TimedOut, decide.ReadDone}, decide.Reset, 0, 0},
 		{"a read given up, and the next refused", []decide.Outcome{decide.TimedOut, decide.Full}, 0, 0, 1},
 		{"a read reset, then not written", []decide.Outcome{decide.Reset, decide.ReadDone}, decide.Error, 0, 1},
 		{"read, and not written", []decide.Outcome{decide.ReadDone}, decide.Full, 1, 0},
@@ -61,6 +65,9 @@
 				if c.write == decide.Served {
 					return stream(ctx, sink, 1)
 				}
+				if c.write == decide.Reset { // after its first token, which lets go of all
+					sink("a ")
+				}
 				return engine.Result{Outcome: c.write, Report: engine.Untold(), Err: errors.New("as told")}
 			}
 			module := withModule(func(_ decide.Time, ev *decide.Event, out []decide.Action) []decide.Action {
@@ -98,8 +105,8 @@
 			if early {
 				t.Error("something was let go while an attempt was out")
 			}
-			for _, name := range fake.released {
-				if name != "kv-client-1" && name != "client-1" {
+			for _, name := range fake.released { // at the engine that holds it, as it was named there
+				if name != "kv-client-1" {
 					t.Errorf("released %q", name)
 				}
 			}
@@ -134,3 +141,20 @@
 		t.Errorf("again: %+v", end)
 	}
 }
+
+// An engine that has started anew, or has moved, is another process: what is kept of the old one's address is
+// dropped, and nothing of those that stayed.
+func TestRestartedEnginesAreForgotten(t *testing.T) {
+	fake := &fakeEngines{}
+	g := start(t, fake, nil)
+	list := fleet()
+	list[0].Since = time.UnixMilli(7)
+	list[1].Addr = "d2:9"
+	list[2].State = decide.Draining
+	g.Update(discovery.Update{Engines: list})
+	g.eventually("both are forgotten", func() bool {
+		fake.mu.Lock()
+		defer fake.mu.Unlock()
+		return strings.Join(fake.forgotten, " ") == "d1:1 d2:1"
+	})
+}
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -29,6 +29,7 @@
 	most      int            // of one request at a time
 	released  []string
 	places    []string
+	forgotten []string
 	calledOff int
 	renewed   int
 	prefill   func(ctx context.Context, addr string, q *engine.Call) engine.Result
@@ -131,7 +132,11 @@
 	return nil
 }
 
-func (f *fakeEngines) Forget(string) {}
+func (f *fakeEngines) Forget(addr string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.forgotten = append(f.forgotten, addr)
+}
 
 func (f *fakeEngines) letGo() []string {
 	f.mu.Lock()
--- a/internal/router/table.go
+++ b/internal/router/table.go
@@ -67,7 +67,7 @@
 	case res.Outcome == decide.Served || res.NoState:
 		f.state = nil
 		if res.Outcome == decide.Served {
-			f.place, f.unsure, f.owed = nil, "", false
+			f.place = nil
 		}
 	}
 	if res.Outcome != decide.ReadDone && res.Outcome != decide.Served {
