--- a/internal/engine/chat/chat_test.go
+++ b/internal/engine/chat/chat_test.go
@@ -248,6 +248,35 @@
 	}
 }
 
+// A drip of comments is no life: without an event it ends as one that stopped.
+func TestDripOfComments(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		conn, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer conn.Close()
+		io.WriteString(conn, streamHead+chunk(eventA))
+		for err == nil { // until the client closes
+			time.Sleep(time.Millisecond)
+			_, err = io.WriteString(conn, chunk(": x\n\n"))
+		}
+	}()
+	c := newClient(t, func(o *Options) { o.StreamIdle = 50 * time.Millisecond })
+	res := c.Decode(t.Context(), l.Addr().String(), request(), func(string) error { return nil })
+	if res.Outcome != decide.Reset || res.Tokens != 1 {
+		t.Errorf("%+v", res)
+	}
+	<-done
+}
+
 // What the engine gets is the client's own, and the time for which the router waits.
 func TestPassedOnUnchanged(t *testing.T) {
 	p := play(t, true, always(whole("202 x", `{"cached_tokens":0}`)))
