--- a/cmd/mintdoor/deploy_test.go
+++ b/cmd/mintdoor/deploy_test.go
@@ -29,6 +29,11 @@
 func TestDeployFileBuildsADynamicProgram(t *testing.T) {
 	const outDir, packages = "-o bin/", "./cmd/..."
 	build := deployKey(t, "build")
+	for _, wanted := range []string{"CGO_ENABLED=1 ", "-ldflags=-linkmode=external "} {
+		if !strings.Contains(build, wanted) { // without them it hangs on the machine whether the C library is used
+			t.Errorf("build = %q lacks %q", build, wanted)
+		}
+	}
 	if !strings.Contains(build, outDir) || !strings.Contains(build, packages) {
 		t.Fatalf("build = %q: this test knows %q and %q", build, outDir, packages)
 	}
