Decision module: one of many routers asks readers for their load before a read

Of 3,272 answers 677 were refusals at arrival, and 379 requests needed more than two attempts.

Ruled out: the writers' times (24 to 66 ms) and the picked reader's own answers (none of 33).

Change: with many routers, and where a probe is cheap, the first two readers of the walk from the prefix's home are asked for their load, and two more while those are past the spill bound; the walk, the bound and the refusal go by what they said. A request waits for that no longer than a probe's time-out. books() counts for few routers only.

Tests of decide/ask_test.go fail without each guard.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -13,12 +13,14 @@
 //	                    own, keep the rules 1 to 4; close keeps rule 5
 //	cold servers        the budget of rule 4
 //	health              symptoms, leaving out, the way back in
+//	asking              many routers ask readers for their load before a read
 //	probes              paced by their price
 //	small helpers
 
 import (
+	"cmp"
 	"math"
-	"sort"
+	"slices"
 )
 
 // Tuned values.
@@ -95,6 +97,12 @@
 	probePoints  = 0.001
 	mostProbes   = 20.0                // earned by a request, however cheap they are
 	probeFastest = 300 * Second / 1000 // the least time between probes of one server
+	// Of many routers each sees too little of a reader to know its queue. So it asks askPair before a read,
+	// and askMost in all while those are past the spill bound; askPoints of the result may go into it.
+	askPair   = 2
+	askMost   = 4
+	askPoints = 0.02
+	askFresh  = 200 * Second / 1000 // a report is news for so long
 	// watchChance at each tick spreads the routers' new askings for the list over about a second.
 	watchChance = 0.1
 	keptEntries = 4096                // remembered of a reader's kept texts, at most
@@ -120,6 +128,8 @@
 	booked    float64 // prompt tokens of own streams
 	sent      float64 // prompt tokens sent since the last report, less those that ended since
 	share     float64 // reported share of memory, negative while untold
+	queue     float64 // reported tokens that wait there, of all routers
+	toldAt    Time    // when; 0 while untold
 	kept      map[uint64]float64
 
 	answer   float64 // usual time of its answers, over what was expected
@@ -160,7 +170,8 @@
 	runAt     Time    // when the first that may have run was sent
 	runOn     *server
 	tried     []*server
-	alone     bool // no state is to be had: only a server that reads by itself will do
+	asked     []*server // readers that were asked for their load
+	alone     bool      // no state is to be had: only a server that reads by itself will do
 	closed    bool
 	sentAt    Time // when the attempt that is out was sent
 	startedAt Time
@@ -191,7 +202,8 @@
 	times     [Both + 1][]float64 // answer times by role in order, see usual
 	timed     [Both + 1]bool
 	tenants   []tenant
-	unwatched bool // an asking for the list has failed
+	asking    []*request // wait for readers' answers, in the order of their arrival
+	unwatched bool       // an asking for the list has failed
 }
 
 // tenant is what is left of this router's part of a tenant's share.
@@ -265,7 +277,7 @@
 			s = &server{id: l.Server, share: -1, kept: map[uint64]float64{}, since: l.Since, leftAt: r.now}
 			r.servers[l.Server] = s
 			r.order = append(r.order, s)
-			sort.Slice(r.order, func(i, j int) bool { return r.order[i].id < r.order[j].id })
+			slices.SortFunc(r.order, func(a, b *server) int { return cmp.Compare(a.id, b.id) })
 			s.coldAt, s.coldWork = r.now, r.random()
 			s.probedAt = r.now - Duration(r.random()*float64(Second)) // in no common order
 		}
@@ -295,16 +307,13 @@
 // forget drops what is known of servers that left long ago, lest a year of new ids fill the memory. One with
 // an attempt or a probe out stays: its outcome is still to be booked.
 func (r *Router) forget() {
-	kept := r.order[:0]
-	for _, s := range r.order {
+	r.order = slices.DeleteFunc(r.order, func(s *server) bool {
 		if s.ready || s.pending > 0 || s.streams > 0 || s.probing || r.now-s.leftAt < forgetAfter {
-			kept = append(kept, s)
-		} else {
-			delete(r.servers, s.id)
+			return false
 		}
-	}
-	clear(r.order[len(kept):])
-	r.order = kept
+		delete(r.servers, s.id)
+		return true
+	})
 }
 
 // countCells sets the room of each cell: its part of the writers over its part of the readers.
@@ -342,6 +351,13 @@
 	r.probes = min(r.probes+probePoints/max(r.set.ProbeFee, probePoints/mostProbes), float64(len(r.order)))
 	w := &r.work[q.job.Class]
 	w.prompt += answerGain * (q.job.Prompt - w.prompt)
+	if !r.ask(q) {
+		r.admit(q)
+	}
+}
+
+// admit refuses a request or begins with it.
+func (r *Router) admit(q *request) {
 	if r.random() < r.refusal(q) {
 		r.giveUp(q)
 		return
@@ -375,8 +391,8 @@
 			memory += s.memory
 		}
 	}
-	if memory <= 0 {
-		return 0 // the settings do not tell it
+	if memory <= 0 || r.many {
+		return 0 // the settings do not tell it, or this router's few streams tell nothing of the others'
 	}
 	return answerGrowth * booked * float64(r.set.Routers) / memory
 }
@@ -405,7 +421,7 @@
 		return 0 // sending will find out
 	}
 	wait := r.readWait(q, reader)
-	if r.many { // it may not have been heard lately, others of its pool have
+	if r.many && !r.told(reader) { // it may not have been heard lately, others of its pool have
 		wait = max(wait, (r.median(Reader, r.recent)-1)*r.fresh(q, reader)*r.pace)
 	}
 	wait += r.median(Writer, r.recent) * writeExpected
@@ -434,9 +450,32 @@
 // readWait is how long a request should wait in a reader's queue, beyond its own bare read.
 func (r *Router) readWait(q *request, s *server) float64 {
 	fresh := r.fresh(q, s)
+	if r.told(s) {
+		return (r.backlog(s) + paceTokens) * r.pace
+	}
 	return (r.recent(s)*(s.waiting+fresh+paceTokens) - fresh) * r.pace
 }
 
+// told tells whether a reader's own word on its queue is news. Few routers know it from their own reads.
+func (r *Router) told(s *server) bool { return r.many && s.toldAt > 0 && r.now-s.toldAt < askFresh }
+
+// backlog is how many tokens wait at a reader, as far as this router can tell.
+func (r *Router) backlog(s *server) float64 {
+	if !r.told(s) {
+		return s.waiting
+	}
+	return max(s.waiting, s.queue-float64(r.now-s.toldAt)/r.pace)
+}
+
+// hasRoom tells whether a reader is under the spill bound and would not have a request refused.
+func (r *Router) hasRoom(q *request, s *server) bool {
+	bound := spillShare * float64(r.leastAim) / r.pace
+	if !r.told(s) {
+		bound /= float64(r.set.Routers) // as many may wait there for each of the others
+	}
+	return r.backlog(s) <= bound && r.readWait(q, s) <= admitShare*float64(r.aim(q))
+}
+
 // recent is a server's answer time, faded once it is old: what is refused brings no news.
 func (r *Router) recent(s *server) float64 {
 	span := r.remembered(fadeSpan)
@@ -580,19 +619,20 @@
 // pickReader walks the key's readers from its home on and takes the first whose own waiting tokens are
 // under the spill bound; if all are past it, the one with the fewest.
 func (r *Router) pickReader(q *request) *server {
-	bound := spillShare * float64(r.leastAim) / r.pace / float64(r.set.Routers)
-	for _, strict := range []bool{true, false} {
+	for pass := range 3 {
+		strict, asked := pass < 2, pass == 0 // first those that were asked
 		var home, fewest *server
-		var best uint64
 		for _, s := range r.order {
 			if s.role != Reader || !r.candidate(q, s, reading, strict) {
 				continue
 			}
-			room := s.waiting <= bound && r.readWait(q, s) <= admitShare*float64(r.aim(q))
-			if h := mix(q.key ^ mix(uint64(s.id))); room && (home == nil || h > best) {
-				home, best = s, h
+			if asked && !slices.Contains(q.asked, s) {
+				continue
 			}
-			if fewest == nil || s.waiting < fewest.waiting {
+			if r.hasRoom(q, s) && (home == nil || q.nearness(s) > q.nearness(home)) {
+				home = s
+			}
+			if fewest == nil || r.backlog(s) < r.backlog(fewest) {
 				fewest = s
 			}
 		}
@@ -606,6 +646,9 @@
 	return nil
 }
 
+// nearness orders the readers in the walk from a key's home.
+func (q *request) nearness(s *server) uint64 { return mix(q.key ^ mix(uint64(s.id))) }
+
 // fresh guesses how many tokens of a prompt a reader has not kept.
 func (r *Router) fresh(q *request, s *server) float64 {
 	kept := max(s.kept[q.key], s.kept[q.job.Session])
@@ -726,10 +769,8 @@
 	if !strict {
 		return true
 	}
-	for _, t := range q.tried {
-		if t == s && st == writing || t == s && q.state != s && st == reading {
-			return false
-		}
+	if slices.Contains(q.tried, s) && (st == writing || q.state != s) {
+		return false
 	}
 	once := st == writing && r.set.Classes[q.job.Class].Repeat == Unsafe
 	return !r.suspect(s, once)
@@ -879,12 +920,13 @@
 				r.times[role] = append(r.times[role], s.answer)
 			}
 		}
-		sort.Float64s(r.times[role])
+		slices.Sort(r.times[role])
 	}
 	times := r.times[role]
 	n, gap := len(times), len(times)
 	if but != nil && n > 0 && r.timeOf(but, role) {
-		n, gap = n-1, sort.SearchFloat64s(times, but.answer)
+		gap, _ = slices.BinarySearch(times, but.answer)
+		n--
 	}
 	switch {
 	case n == 0:
@@ -906,7 +948,7 @@
 	if len(times) == 0 {
 		return 0
 	}
-	sort.Float64s(times)
+	slices.Sort(times)
 	return times[len(times)/2]
 }
 
@@ -976,6 +1018,50 @@
 	return n
 }
 
+// --- asking ---
+
+// ask asks the next readers of the walk from a key's home for their load, and tells whether the request has
+// to wait for an answer. The wait is bounded by a probe's time-out, a small part of any aim.
+func (r *Router) ask(q *request) bool {
+	if !r.many || !r.set.Probing || r.set.ProbeFee*askMost > askPoints ||
+		slices.ContainsFunc(q.asked, func(s *server) bool { return r.told(s) && r.hasRoom(q, s) }) {
+		return false
+	}
+	var walk []*server
+	for _, s := range r.order {
+		if s.role == Reader && r.candidate(q, s, reading, true) && !slices.Contains(q.asked, s) {
+			walk = append(walk, s)
+		}
+	}
+	slices.SortFunc(walk, func(a, b *server) int { return cmp.Compare(q.nearness(b), q.nearness(a)) })
+	waits := false
+	for _, s := range walk[:max(0, min(askPair, askMost-len(q.asked), len(walk)))] {
+		q.asked = append(q.asked, s)
+		waits = waits || !r.told(s)
+		if !r.told(s) && !s.probing {
+			s.probing, s.probedAt = true, r.now
+			r.act(Action{Kind: Probe, Server: s.id})
+		}
+	}
+	if waits {
+		r.asking = append(r.asking, q)
+	}
+	return waits
+}
+
+// heard goes on with the requests that wait for no answer any more.
+func (r *Router) heard() {
+	waiting := r.asking
+	r.asking = nil
+	for _, q := range waiting {
+		if slices.ContainsFunc(q.asked, func(s *server) bool { return s.probing }) {
+			r.asking = append(r.asking, q)
+		} else if !q.closed && !r.ask(q) {
+			r.admit(q)
+		}
+	}
+}
+
 // --- probes ---
 
 // tick looks after what no event brings up.
@@ -1014,6 +1100,7 @@
 	} else {
 		r.bad(s, ev.Outcome == ConnectFailed)
 	}
+	r.heard()
 }
 
 // report takes in a load report. One that repeats the last share is the old one told again.
@@ -1021,6 +1108,9 @@
 	if rep.MemoryShare >= 0 && rep.MemoryShare != s.share {
 		s.share, s.sent = rep.MemoryShare, 0
 	}
+	if rep.WaitingK >= 0 {
+		s.queue, s.toldAt = rep.WaitingK*thousand, r.now
+	}
 }
 
 // --- small helpers ---
@@ -1032,7 +1122,7 @@
 }
 
 // readTime is how long the own tokens that wait at a reader should take to read.
-func (r *Router) readTime(s *server) float64 { return (s.waiting + paceTokens) * r.pace }
+func (r *Router) readTime(s *server) float64 { return (r.backlog(s) + paceTokens) * r.pace }
 
 // capFor is an attempt's time-out: a share of the aim, but well over what is usual for the work. What
 // can't be repeated waits as long as its client does.
