Decision module: writers are asked while a prompt is read; up to eight readers are asked

Change: when a read begins, two writers are asked for their load; the pick looks at them first and goes by what they say (fit, own streams, then memory held and waited for). The walk asks up to eight readers, two at a time.

--- a/decide/api.go
+++ b/decide/api.go
@@ -1,5 +1,20 @@
 // Package decide is mintdoor's decision module: one Router per router process, fed with events,
-// answering with actions. This file is its interface; decide.go holds every decision.
+// answering with actions. This file is its interface; decide.go holds every decision:
+//
+//	constants           every tuned value, with its reason
+//	state               server, request, Router
+//	Handle              the one event handler
+//	list                what discovery tells
+//	arrive ... ended    the path of a request: refused or read, written, streamed, done
+//	reader choice       prefix home, spill, fewest waiting
+//	writer choice       fit, fewest own streams, lowest booked cost, smallest footprint; distances
+//	guards              send and giveUp, the only ways to an attempt and to an answer of this router's
+//	                    own, keep the rules 1 to 4; close keeps rule 5
+//	cold servers        the budget of rule 4
+//	health              symptoms, leaving out, the way back in
+//	asking              many routers ask servers for their load before they pick one
+//	probes              paced by their price
+//	small helpers
 package decide
 
 // Time is a point on the router's own clock, in nanoseconds.
--- a/decide/ask_test.go
+++ b/decide/ask_test.go
@@ -1,15 +1,16 @@
 package decide
 
 import (
+	"slices"
 	"testing"
 )
 
-// sparse is settings of so many routers that each sees little of any reader, and six readers.
+// sparse is settings of so many routers that each sees little of any reader, and ten readers.
 func sparse() (*Settings, []Listing) {
 	set := settings()
 	set.Routers, set.Probing, set.ProbeFee = 300, true, 0.003
 	list := fleet()
-	for id := ServerID(3); id <= 6; id++ {
+	for id := ServerID(3); id <= 10; id++ {
 		list = append(list, Listing{Server: id, Kind: 0, Condition: Ready})
 	}
 	return set, list
@@ -36,35 +37,35 @@
 func TestReadersAreAskedByManyRouters(t *testing.T) {
 	const crowd = 50 // thousand tokens: 5 s of reading
 	tests := []struct {
-		name   string
-		queues [4]float64 // of the readers asked, in the order of the walk
-		asked  int
-		want   int // which of them gets the read; -1: refused
+		name  string
+		busy  []float64 // thousand tokens at the first readers asked, in the order of the walk; the rest idle
+		asked int
+		want  int // which of them gets the read; -1: refused
 	}{
-		{"the home has room", [4]float64{0, 0}, 2, 0},
-		{"the home is a little busy", [4]float64{1, 0}, 2, 0},
-		{"the home is crowded", [4]float64{crowd, 0}, 2, 1},
-		{"two are crowded", [4]float64{crowd, crowd, 0, 0}, 4, 2},
-		{"three are crowded", [4]float64{crowd, crowd, crowd, 0}, 4, 3},
-		{"all are crowded", [4]float64{crowd, crowd, crowd, crowd}, 4, -1},
+		{"the home has room", nil, 2, 0},
+		{"the home is a little busy", []float64{1}, 2, 0},
+		{"the home is crowded", []float64{crowd}, 2, 1},
+		{"two are crowded", []float64{crowd, crowd}, 4, 2},
+		{"three are crowded", []float64{crowd, crowd, crowd}, 4, 3},
+		{"all are crowded", []float64{crowd, crowd, crowd, crowd, crowd, crowd, crowd, crowd}, 8, -1},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			w := newWorld(sparseOf(t))
 			_, acts := w.arrive(safe)
 			var asked []ServerID
-			for len(probes(acts)) > 0 {
-				if find(acts, Send) != nil {
-					t.Fatalf("sent before the answers: %v", acts)
-				}
+			for find(acts, Send) == nil && find(acts, Refuse) == nil {
 				round := probes(acts)
+				if len(round) == 0 {
+					t.Fatalf("nothing goes on after %v", asked)
+				}
 				asked = append(asked, round...)
 				for _, s := range round {
-					for i, a := range asked {
-						if a == s {
-							acts = w.tells(s, tt.queues[i])
-						}
+					queue := 0.0
+					if i := slices.Index(asked, s); i < len(tt.busy) {
+						queue = tt.busy[i]
 					}
+					acts = w.tells(s, queue)
 				}
 			}
 			if len(asked) != tt.asked {
@@ -88,6 +89,53 @@
 	return t, set, list
 }
 
+// heard answers all probes that are out, each with a share of memory and the tokens that wait.
+func (w *world) heard(acts []Action, share func(ServerID) float64) (last []Action) {
+	for _, s := range probes(acts) {
+		w.now += 2 * ms
+		last = w.do(Event{Kind: Probed, Server: s, Outcome: Served, Spent: 2 * ms,
+			Report: Report{MemoryShare: share(s), WaitingK: 0, Latency: -1}})
+	}
+	return last
+}
+
+// While a prompt is read, two writers are asked, and the pick goes to the one that holds less; one that is full
+// gets nothing while others may fit; without an answer the pick goes on as ever.
+func TestWritersAreAskedWhileAPromptIsRead(t *testing.T) {
+	idle := func(ServerID) float64 { return 0 }
+	for _, tt := range []struct {
+		name   string
+		shares [2]float64 // of the writers asked; negative: no answer
+		want   func(asked []ServerID, got ServerID) bool
+	}{
+		{"the first holds less", [2]float64{0.2, 0.6}, func(a []ServerID, got ServerID) bool { return got == a[0] }},
+		{"the second holds less", [2]float64{0.6, 0.2}, func(a []ServerID, got ServerID) bool { return got == a[1] }},
+		{"the first is full", [2]float64{0.99, 0.85}, func(a []ServerID, got ServerID) bool { return got == a[1] }},
+		{"both are full", [2]float64{0.99, 0.99}, func(a []ServerID, got ServerID) bool { return !slices.Contains(a, got) }},
+		{"neither answers", [2]float64{-1, -1}, func(a []ServerID, got ServerID) bool { return got != 0 }},
+		{"one answers", [2]float64{-1, 0.5}, func(a []ServerID, got ServerID) bool { return got == a[1] }},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			w := newWorld(sparseOf(t))
+			id, acts := w.arrive(safe)
+			acts = w.heard(acts, idle)
+			reader := w.sent(acts)
+			asked := probes(acts)
+			if len(asked) != 2 || asked[0] == asked[1] || asked[0] < 11 || asked[1] < 11 {
+				t.Fatalf("asked %v while reading, want two writers", asked)
+			}
+			for i, s := range asked {
+				if tt.shares[i] >= 0 {
+					w.heard([]Action{{Kind: Probe, Server: s}}, func(ServerID) float64 { return tt.shares[i] })
+				}
+			}
+			if got := w.sent(w.end(id, 0, reader, ReadDone)); !tt.want(asked, got) {
+				t.Errorf("written at %d, asked %v", got, asked)
+			}
+		})
+	}
+}
+
 // A reader that does not answer costs a probe's time-out and no more, and the other one asked gets the read.
 func TestSilentReadersAreNotWaitedFor(t *testing.T) {
 	w := newWorld(sparseOf(t))
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -1,21 +1,6 @@
 package decide
 
-// The interface - settings, events, actions - is in api.go. Map of this file:
-//
-//	constants           every tuned value, with its reason
-//	state               server, request, Router
-//	Handle              the one event handler
-//	list                what discovery tells
-//	arrive ... ended    the path of a request: refused or read, written, streamed, done
-//	reader choice       prefix home, spill, fewest waiting
-//	writer choice       fit, fewest own streams, lowest booked cost, smallest footprint; distances
-//	guards              send and giveUp, the only ways to an attempt and to an answer of this router's
-//	                    own, keep the rules 1 to 4; close keeps rule 5
-//	cold servers        the budget of rule 4
-//	health              symptoms, leaving out, the way back in
-//	asking              many routers ask readers for their load before a read
-//	probes              paced by their price
-//	small helpers
+// The interface, and a map of this file, are in api.go.
 
 import (
 	"cmp"
@@ -31,38 +16,31 @@
 	// spillShare of the least aim may the tokens waiting at a reader take, if all routers have as many there.
 	spillShare = 0.4
 	startPace  = 100e3 // ns to read a token, assumed before any read has been seen
-	// paceDown weighs a faster read, which met no queue, paceUp is the step after a slower one: a mean would
-	// shrink the spill bound under load and scatter the texts when that is dearest.
+	// paceDown weighs a faster read, which met no queue, paceUp is the step after a slower one: a mean
+	// would shrink the spill bound under load, when to scatter the texts is dearest.
 	paceDown   = 0.2
 	paceUp     = 0.002
 	paceTokens = 256.0 // the least that a read is taken for; under it its fixed time prevails
-	// farCell and farZone are how many own streams more a writer of the reader's cell, or zone, may have:
-	// a move out crosses one shared link and has a price.
-	farCell = 1.0
-	farZone = 2.0
+	farCell    = 1.0   // own streams more may a writer of the reader's cell have,
+	farZone    = 2.0   // or its zone: a move crosses a shared link and has a price
 	// fewRouters is up to how many routers that holds: of more, each has fewer streams, and the same handicap
 	// would send all states of a cell rich in readers to its few writers.
 	fewRouters     = 4.0
 	crowdedStreams = 0.5         // handicap of a writer whose cell can take no more; own streams go first
 	longMemory     = 16 * Second // what is learnt of a server lasts at the most, however rarely it is used
 	jamSpan        = 5 * Second  // memory of a jam of the links when no state is moved there
-	// readCap and writeCap of the aim may an attempt take: half leaves one more try within the aim.
-	readCap  = 0.5
-	writeCap = 0.6
-	// againPart of the requests, and againMost at once, may be cut off for another attempt. When more are,
-	// the pool is short, and all would be done twice.
-	againPart  = 0.03
-	againMost  = 2.0
-	calmTimes  = 4.0 // times the expected, or less, is the usual answer time of a pool that is not short
-	capTypical = 4.0 // times the usual are time-outs at the least, so load alone causes none
-	// quietTypical times the usual answer time without any sign, and quietFloor of the least aim, make a
-	// server with waiting attempts suspect.
-	quietTypical  = 4.0
-	quietFloor    = 0.25
-	slowTimes     = 3.0  // times the median answer time of its peers make a server suspect
-	writeExpected = 50e6 // the unit of first-token times; reads are measured by their tokens
-	slowSamples   = 4    // answers are needed to judge a server by its times, unless routers are many
-	answerGain    = 0.2  // weighs a new answer time; some five answers tell
+	readCap        = 0.5         // of the aim may a read take: that leaves one more try within the aim,
+	writeCap       = 0.6         // and so much a first token
+	againPart      = 0.03        // of the requests may be cut off for another attempt, and
+	againMost      = 2.0         // so many at once; more tell of a short pool, not of servers
+	calmTimes      = 4.0         // times the expected is the usual answer time at most where a pool is not short
+	capTypical     = 4.0         // times the usual are time-outs at the least, so load alone causes none
+	quietTypical   = 4.0         // times the usual answer time without a sign, and at least
+	quietFloor     = 0.25        // this part of the least aim, make it suspect
+	slowTimes      = 3.0         // times the median answer time of its peers make a server suspect
+	writeExpected  = 50e6        // the unit of first-token times; reads are measured by their tokens
+	slowSamples    = 4           // answers are needed to judge a server by its times, unless routers are many
+	answerGain     = 0.2         // weighs a new answer time; some five answers tell
 	// failGain and failLimit: two failures in a row, or a third of recent attempts, make a server suspect.
 	failGain       = 0.2
 	failLimit      = 0.3
@@ -70,21 +48,17 @@
 	firstBench     = 1 * Second // how long a suspect server is left out before a trial, at first
 	longestBench   = 8 * Second // ... and at most
 	coldMargin     = 0.9        // of this router's share of a cold budget is used: routers are unequal
-	// coldChance sends are held back from the budget in proportion to its smallness (b*b/(b+coldChance)).
-	coldChance = 1.0
-	// mixGain weighs a send in the mean work of all: rare heavy classes must count, some 20 sends do.
-	mixGain  = 0.05
-	rateSpan = 5 * Second // memory of the work rates that the cold budget is guessed from
+	coldChance     = 1.0        // sends are held back in proportion to its smallness (b*b/(b+coldChance))
+	mixGain        = 0.05       // weighs a send in the mean work: rare heavy classes must count
+	rateSpan       = 5 * Second // memory of the work rates that the cold budget is guessed from
 	// admitShare of the aim may the predicted wait reach before requests are refused at their arrival, the
 	// steeper the greater admitPower is. Some are always let in, so that the end of the trouble is seen. A
 	// prompt's bare read is not held against it, but what its tokens take longer under load is.
 	admitShare = 0.45
 	admitPower = 4.0
-	// fadeSpan is how long an answer time counts whole when no newer one comes; then it fades as fast.
-	fadeSpan = 2 * Second
-	// fullLow and fullHigh: the smallest footprint of any writer from which none and all of the requests of
-	// the least worth are refused: full writers put streams back and read them anew. Classes of more worth
-	// go up to fullSpare later.
+	fadeSpan   = 2 * Second // an answer time counts whole for so long, then fades as fast
+	// fullLow and fullHigh: the smallest footprint of any writer from which none and all of the least worth
+	// are refused: full writers put streams back and read them anew. The dearest go fullSpare later.
 	fullLow      = 0.9
 	fullHigh     = 0.98
 	fullSpare    = 0.04
@@ -99,12 +73,11 @@
 	probeFastest = 300 * Second / 1000 // the least time between probes of one server
 	// Of many routers each sees too little of a reader to know its queue. So it asks askPair before a read,
 	// and askMost in all while those are past the spill bound; askPoints of the result may go into it.
-	askPair   = 2
-	askMost   = 4
-	askPoints = 0.02
-	askFresh  = 200 * Second / 1000 // a report is news for so long
-	// watchChance at each tick spreads the routers' new askings for the list over about a second.
-	watchChance = 0.1
+	askPair     = 2
+	askMost     = 8
+	askPoints   = 0.03
+	askFresh    = 200 * Second / 1000 // a report is news for so long
+	watchChance = 0.1                 // at each tick: spreads new askings for the list over about a second
 	keptEntries = 4096                // remembered of a reader's kept texts, at most
 	forgetAfter = 600 * Second        // a server that left the list and has nothing out is forgotten
 	tickEvery   = 100 * Second / 1000 // time between looks at what no event brings up
@@ -170,7 +143,7 @@
 	runAt     Time    // when the first that may have run was sent
 	runOn     *server
 	tried     []*server
-	asked     []*server // readers that were asked for their load
+	asked     []*server // were asked for their load for the next attempt
 	alone     bool      // no state is to be had: only a server that reads by itself will do
 	closed    bool
 	sentAt    Time // when the attempt that is out was sent
@@ -581,11 +554,10 @@
 			r.pace *= 1 + paceUp
 		}
 	case Error, Reset, TimedOut, ConnectFailed:
-		if ev.Outcome == TimedOut && q.stage != streaming &&
-			q.sentAt < s.quietFrom && r.usual(s.role, nil) < calmTimes {
-			return // the server was heard since, and no queue is long: this one or its answer was lost
-		}
 		if ev.Outcome == TimedOut && q.stage != streaming {
+			if q.sentAt < s.quietFrom && r.usual(s.role, nil) < calmTimes {
+				return // the server was heard since, and no queue is long: this one or its answer was lost
+			}
 			// At least so long: under load that all share, the usual time grows and time-outs with it.
 			r.learn(s, float64(ev.Spent)/q.expect)
 			r.again = max(0, r.again-1)
@@ -668,9 +640,11 @@
 // --- writer choice ---
 
 // pickWriter: among the writers that fit the fewest own streams, then the lowest D + W*N, ties at
-// random; when none fits, the smallest resulting footprint.
+// random; when none fits, the smallest resulting footprint. Those that were asked come first, and D is what
+// they said then; while a prompt is read, the next to be asked is picked.
 func (r *Router) pickWriter(q *request) *server {
-	for _, strict := range []bool{true, false} {
+	for pass := range 3 {
+		strict, asked := pass < 2, pass == 0
 		var pick, fallback *server
 		var streams, cost, least float64
 		ties := 0.0
@@ -678,6 +652,10 @@
 			if s.role&Writer == 0 || !r.candidate(q, s, writing, strict) {
 				continue
 			}
+			heard := slices.Contains(q.asked, s)
+			if asked && !(heard && s.toldAt >= q.sentAt) || heard && q.out != nil {
+				continue
+			}
 			print := r.footprint(s, q.job.Prompt)
 			if fallback == nil || print < least {
 				fallback, least = s, print
@@ -687,6 +665,9 @@
 			}
 			n := float64(s.streams) + r.far(distance(q, s)) + r.crowded(q, s)
 			c := s.booked + streamWeight*float64(s.streams)
+			if asked {
+				n, c = float64(s.streams), print+s.queue/max(s.memory, 1)
+			}
 			switch {
 			case pick == nil || n < streams || n == streams && c < cost:
 				pick, streams, cost, ties = s, n, c, 1
@@ -700,7 +681,7 @@
 		if pick != nil {
 			return pick
 		}
-		if fallback != nil {
+		if fallback != nil && !asked {
 			return fallback
 		}
 	}
@@ -718,10 +699,14 @@
 
 // distance tells how far a state has to go to a writer: 0 within its cell, 1 within its zone, 2 to another.
 func distance(q *request, s *server) int {
+	from := q.state
+	if from == nil {
+		from = q.out // it is being read
+	}
 	switch {
-	case q.state == nil || q.state.cell == s.cell:
+	case from == nil || from.cell == s.cell:
 		return 0
-	case q.state.zone == s.zone:
+	case from.zone == s.zone:
 		return 1
 	}
 	return 2
@@ -798,6 +783,7 @@
 		q.tokens = r.fresh(q, s)
 		s.waiting += q.tokens
 		q.expect = r.readTime(s)
+		r.askWriters(q)
 	} else {
 		q.tokens = q.job.Prompt
 		s.streams++
@@ -1020,10 +1006,24 @@
 
 // --- asking ---
 
+// asks tells whether servers are asked before they are picked: by many routers, where it is cheap.
+func (r *Router) asks() bool { return r.many && r.set.Probing && r.set.ProbeFee*askMost <= askPoints }
+
+// askWriters asks writers while a prompt is read, so that the pick goes by what they say then.
+func (r *Router) askWriters(q *request) {
+	q.asked = nil
+	for n := 0; n < askPair && r.asks(); n++ {
+		if s := r.pickWriter(q); s != nil {
+			q.asked = append(q.asked, s)
+			r.probe(s)
+		}
+	}
+}
+
 // ask asks the next readers of the walk from a key's home for their load, and tells whether the request has
 // to wait for an answer. The wait is bounded by a probe's time-out, a small part of any aim.
 func (r *Router) ask(q *request) bool {
-	if !r.many || !r.set.Probing || r.set.ProbeFee*askMost > askPoints ||
+	if !r.asks() ||
 		slices.ContainsFunc(q.asked, func(s *server) bool { return r.told(s) && r.hasRoom(q, s) }) {
 		return false
 	}
@@ -1037,10 +1037,9 @@
 	waits := false
 	for _, s := range walk[:max(0, min(askPair, askMost-len(q.asked), len(walk)))] {
 		q.asked = append(q.asked, s)
-		waits = waits || !r.told(s)
-		if !r.told(s) && !s.probing {
-			s.probing, s.probedAt = true, r.now
-			r.act(Action{Kind: Probe, Server: s.id})
+		if !r.told(s) {
+			waits = true
+			r.probe(s)
 		}
 	}
 	if waits {
@@ -1049,6 +1048,13 @@
 	return waits
 }
 
+func (r *Router) probe(s *server) {
+	if !s.probing {
+		s.probing, s.probedAt = true, r.now
+		r.act(Action{Kind: Probe, Server: s.id})
+	}
+}
+
 // heard goes on with the requests that wait for no answer any more.
 func (r *Router) heard() {
 	waiting := r.asking
@@ -1084,8 +1090,7 @@
 		if next == nil || r.now-next.probedAt < probeFastest {
 			return
 		}
-		next.probing, next.probedAt = true, r.now
-		r.act(Action{Kind: Probe, Server: next.id})
+		r.probe(next)
 	}
 }
 
@@ -1108,8 +1113,8 @@
 	if rep.MemoryShare >= 0 && rep.MemoryShare != s.share {
 		s.share, s.sent = rep.MemoryShare, 0
 	}
-	if rep.WaitingK >= 0 {
-		s.queue, s.toldAt = rep.WaitingK*thousand, r.now
+	if rep.WaitingK >= 0 || rep.MemoryShare >= 0 {
+		s.queue, s.toldAt = max(0, rep.WaitingK)*thousand, r.now
 	}
 }
 
