--- a/decide/decide.go
+++ b/decide/decide.go
@@ -33,7 +33,7 @@
 	writeCap       = 0.6         // and so much a first token
 	againPart      = 0.03        // of the requests may be cut off for another attempt, and
 	againMost      = 2.0         // so many at once; more tell of a short pool, not of servers
-	calmTimes      = 4.0         // times the expected is the usual answer time at most where a pool is not short
+	calmTimes      = 4.0         // times the expected is the usual answer time, at most, of a calm pool
 	capTypical     = 4.0         // times the usual are time-outs at the least, so load alone causes none
 	quietTypical   = 4.0         // times the usual answer time without a sign, and at least
 	quietFloor     = 0.25        // this part of the least aim, make it suspect
