A client's leaving is seen behind what it sent; no last answer is lost to a reset

Front: conn.watch peeked for one byte more than was buffered and then ended, so a client that sent anything behind its open request and left was not seen to have left (nor one whose next request filled the buffer of 4 KiB). The watch now goes on, and reads past the buffer into room that is counted among the bodies. After a connection's last answer the connection was closed at once; over unread bytes that is a reset, and the answer may go with it. Now sending ends first and what still comes is read and thrown away, for 500 ms and 256 KiB at the most; such connections are the first to make room.

A request now waits only for what was asked by then, never for a second time-out, and not at all with little time left.

--- a/decide/ask_test.go
+++ b/decide/ask_test.go
@@ -175,6 +175,44 @@
 	}
 }
 
+// A busy router asks the same readers again and again; a request waits for what was asked for it, and no longer.
+func TestNoRequestWaitsForWhatOthersAsk(t *testing.T) {
+	w := newWorld(sparseOf(t))
+	first, acts := w.arrive(safe)
+	asked := probes(acts)
+	w.tells(asked[0], 0)
+	w.now += 2 * askFresh // the other is silent, and what this one told is no news any more
+	if _, acts := w.arrive(safe); !slices.Contains(probes(acts), asked[0]) {
+		t.Fatalf("the second request asks %v, want %d again", probes(acts), asked[0])
+	}
+	acts = w.do(Event{Kind: Probed, Server: asked[1], Outcome: TimedOut, Spent: 250 * ms})
+	for _, a := range acts {
+		if a.Kind == Send && a.Request == first {
+			return
+		}
+	}
+	t.Errorf("got %v: the first request waits for the second's answer", acts)
+}
+
+// Silent readers cost one time-out, however many there are, and nothing where the client has little time left.
+func TestSilentReadersCostOneTimeOut(t *testing.T) {
+	w := newWorld(sparseOf(t))
+	_, acts := w.arrive(safe)
+	round := probes(acts)
+	w.now += w.r.set.DialTimeout + ms
+	for _, s := range round {
+		acts = w.do(Event{Kind: Probed, Server: s, Outcome: TimedOut, Spent: w.r.set.DialTimeout})
+	}
+	if len(round) != 2 || find(acts, Send) == nil {
+		t.Errorf("after %v were silent: %v, want a read", round, acts)
+	}
+	acts = w.do(Event{Kind: Arrived, Request: 99, Job: Job{Class: safe, Session: 5, Text: 98, Prompt: 1000,
+		Deadline: w.now + w.r.set.DialTimeout}})
+	if find(acts, Send) == nil {
+		t.Errorf("with little time left: %v, want a read at once", acts)
+	}
+}
+
 // Rule 1 and the client's leave: who has gone while a reader was asked gets no attempt.
 func TestNothingIsSentForWhoLeftWhileReadersWereAsked(t *testing.T) {
 	w := newWorld(sparseOf(t))
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -144,6 +144,7 @@
 	runOn     *server
 	tried     []*server
 	asked     []*server // were asked for their load for the next attempt
+	askAt     Time      // only what was asked by then is waited for
 	alone     bool      // no state is to be had: only a server that reads by itself will do
 	closed    bool
 	sentAt    Time // when the attempt that is out was sent
@@ -1021,9 +1022,9 @@
 }
 
 // ask asks the next readers of the walk from a key's home for their load, and tells whether the request has
-// to wait for an answer. The wait is bounded by a probe's time-out, a small part of any aim.
+// to wait for an answer. No second time-out is waited for, and none by who has little time left.
 func (r *Router) ask(q *request) bool {
-	if !r.asks() ||
+	if !r.asks() || r.now-q.arrived > r.set.DialTimeout || q.job.Deadline-r.now < 2*r.set.DialTimeout ||
 		slices.ContainsFunc(q.asked, func(s *server) bool { return r.told(s) && r.hasRoom(q, s) }) {
 		return false
 	}
@@ -1042,7 +1043,7 @@
 			r.probe(s)
 		}
 	}
-	if waits {
+	if q.askAt = r.now; waits {
 		r.asking = append(r.asking, q)
 	}
 	return waits
@@ -1060,7 +1061,7 @@
 	waiting := r.asking
 	r.asking = nil
 	for _, q := range waiting {
-		if slices.ContainsFunc(q.asked, func(s *server) bool { return s.probing }) {
+		if slices.ContainsFunc(q.asked, func(s *server) bool { return s.probing && s.probedAt <= q.askAt }) {
 			r.asking = append(r.asking, q)
 		} else if !q.closed && !r.ask(q) {
 			r.admit(q)
--- a/internal/front/chat/answer.go
+++ b/internal/front/chat/answer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"os"
 	"strconv"
 	"time"
@@ -62,7 +63,8 @@
 	}
 	c.SetWriteDeadline(time.Now().Add(f.opts.Stall))
 	_, err := c.Write(f.answer(code, "text/plain", body, retryAfter, closes))
-	return err == nil && !closes
+	c.whole = err == nil
+	return c.whole && !closes
 }
 
 func (c *conn) fail(e *front.Error, closes bool) bool {
@@ -75,6 +77,7 @@
 	ctx, left := context.WithCancel(ctx)
 	defer left()
 	watching := c.watch(left)
+	defer watching.stop(c)
 	begun := false
 	var buf []byte
 	for {
@@ -113,7 +116,8 @@
 		}
 		c.SetWriteDeadline(time.Now().Add(c.front.opts.Stall))
 		_, err := c.Write([]byte("0\r\n\r\n"))
-		return err == nil && !closes
+		c.whole = err == nil
+		return c.whole && !closes
 	}
 }
 
@@ -123,8 +127,8 @@
 	gone bool
 }
 
-// watch reads ahead on the connection. What a client sends before its answer stays in the buffer; from then
-// on its leaving shows only when it is written to.
+// watch reads ahead on the connection: the client's leaving may stand behind what it has sent before its answer.
+// Past the bounds of that it shows only when the client is written to.
 func (c *conn) watch(left func()) *watcher {
 	w := &watcher{done: make(chan struct{})}
 	c.SetReadDeadline(time.Time{})
@@ -132,14 +136,44 @@
 	go func() {
 		defer c.front.conns.tasks.Done()
 		defer close(w.done)
-		if _, err := c.br.Peek(c.br.Buffered() + 1); err != nil && !isTimeout(err) && c.br.Buffered() < c.br.Size() {
-			w.gone = true
-			left()
+		for {
+			var err error
+			if n := c.br.Buffered(); n < c.br.Size() {
+				_, err = c.br.Peek(n + 1)
+			} else {
+				err = c.readAhead()
+			}
+			if err != nil {
+				if w.gone = !isTimeout(err) && !errors.Is(err, errNoRoom); w.gone {
+					left()
+				}
+				return
+			}
+			c.front.conns.seen.Add(1)
 		}
 	}()
 	return w
 }
 
+// readAhead reads what br has no room for.
+func (c *conn) readAhead() error {
+	if n := len(c.ahead); n == cap(c.ahead) {
+		grown := min(max(2*n, readBuffer), maxAhead)
+		if n >= grown {
+			return errNoRoom
+		}
+		taken := c.front.bodies.Add(int64(grown) - c.room)
+		c.room = int64(grown) // dropAhead gives it back
+		if taken > c.front.opts.BodyBytes {
+			return errNoRoom
+		}
+		c.ahead = append(make([]byte, 0, grown), c.ahead...)
+	}
+	n, err := c.Conn.Read(c.ahead[len(c.ahead):cap(c.ahead)])
+	c.ahead = c.ahead[:len(c.ahead)+n]
+	return err
+}
+
 func isTimeout(err error) bool { return os.IsTimeout(err) }
 
 // stop ends the watch and reports whether the client is still there.
--- a/internal/front/chat/chat.go
+++ b/internal/front/chat/chat.go
@@ -32,7 +32,11 @@
 	maxName    = 64
 	maxTokens  = 1e7
 	readBuffer = 4096
-	bytesToken = 4.0 // four characters make a token (PROTOCOL)
+	maxAhead   = maxHead + MaxBody // read of a next request while one is open
+	// lingerFor and lingerBytes bound what is still read, and thrown away, after a connection's last answer.
+	lingerFor   = 500 * time.Millisecond
+	lingerBytes = MaxBody
+	bytesToken  = 4.0 // four characters make a token (PROTOCOL)
 )
 
 // Options are what the front is made of.
@@ -116,13 +120,30 @@
 	net.Conn
 	front *Front
 	br    *bufio.Reader
-	entry entry // of conns
+	ahead []byte // what br had no room for while a request was open
+	room  int64  // that ahead takes of the room for bodies
+	entry entry  // of conns
+	whole bool   // the last answer was written to its end
+}
+
+// Read is br's source: first what was read ahead.
+func (c *conn) Read(p []byte) (int, error) {
+	if len(c.ahead) == 0 {
+		return c.Conn.Read(p)
+	}
+	n := copy(p, c.ahead)
+	if c.ahead = c.ahead[n:]; len(c.ahead) == 0 {
+		c.dropAhead()
+	}
+	return n, nil
 }
 
 func (c *conn) serve(ctx context.Context) {
 	f := c.front
 	began := time.Now()
-	c.br = bufio.NewReaderSize(c.Conn, readBuffer)
+	c.br = bufio.NewReaderSize(c, readBuffer)
+	defer c.dropAhead()
+	defer c.linger()
 	c.SetReadDeadline(began.Add(f.opts.Within))
 	for first := true; ; first = false {
 		if !first {
@@ -132,6 +153,7 @@
 			c.SetReadDeadline(time.Now().Add(f.opts.Idle))
 			f.conns.idle(c)
 			if _, err := c.br.Peek(1); err != nil {
+				c.whole = false // it has left, or rested for long: nothing can be lost any more
 				return
 			}
 			c.SetReadDeadline(time.Now().Add(f.opts.Within))
@@ -142,9 +164,33 @@
 	}
 }
 
+// dropAhead gives back the room of what was read ahead.
+func (c *conn) dropAhead() {
+	c.front.bodies.Add(-c.room)
+	c.ahead, c.room = nil, 0
+}
+
+// linger ends a connection after an answer: no more is sent, and what still comes is read and thrown away, for a
+// close over unread bytes resets the connection, and an answer that its client has not read goes with it.
+func (c *conn) linger() {
+	tcp, ok := c.Conn.(*net.TCPConn)
+	if !c.whole || !ok || tcp.CloseWrite() != nil {
+		return
+	}
+	c.front.conns.ending(c)
+	c.SetReadDeadline(time.Now().Add(lingerFor))
+	for left := lingerBytes; left > 0; {
+		n, err := c.br.Discard(min(left, max(c.br.Buffered(), 1)))
+		if left -= n; err != nil {
+			return
+		}
+	}
+}
+
 // request takes one request and answers it. It reports whether the connection can take another.
 func (c *conn) request(ctx context.Context) bool {
 	f := c.front
+	c.whole = false
 	head, err := http1.ReadHead(c.br, maxHead)
 	if err != nil {
 		return c.unreadable(err)
--- a/internal/front/chat/conns.go
+++ b/internal/front/chat/conns.go
@@ -3,6 +3,7 @@
 import (
 	"container/list"
 	"sync"
+	"sync/atomic"
 )
 
 // conns is all connections of clients. Those without an open request stand in a list by how long they have
@@ -11,6 +12,7 @@
 type conns struct {
 	most  int
 	tasks sync.WaitGroup
+	seen  atomic.Int64 // times that bytes came while a request was open
 
 	mu      sync.Mutex
 	all     map[*conn]struct{}
@@ -89,6 +91,19 @@
 	}
 }
 
+// ending: the connection has had its last answer and only lingers. It is the first to make room, and not one
+// that rests between requests.
+func (s *conns) ending(c *conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if c.entry.at != nil {
+		s.waiting.Remove(c.entry.at)
+	}
+	if c.entry.at, c.entry.kept = nil, false; !c.entry.closed {
+		c.entry.at = s.waiting.PushFront(c)
+	}
+}
+
 // gone: the connection's goroutine ends.
 func (s *conns) gone(c *conn) {
 	s.mu.Lock()
