Stand-in fleet: no engine is asked under the fleet's lock; the hang of TestShortDay

Goroutines dumped after two minutes: Fleet.keep held the fleet's lock and waited in Server.Since for the engine's ('fleet.goneUnlessBack.func1 ... engine.(*Server).Since'), while that engine, locked in startLocked, waited in Fleet.started -> later for the fleet's.

Change: the fleet counts an engine's starts itself.

--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -64,6 +64,7 @@
 	Engine *standin.Server
 	entry  discovery.Engine
 	listed bool
+	starts int // times that it has come back
 }
 
 // change is a list entry that will change.
@@ -115,11 +116,15 @@
 	return f, nil
 }
 
-// started is told by an engine that has come back.
+// started is told by an engine that has come back. The engine is locked meanwhile, so whoever holds the fleet's
+// lock may ask no engine anything.
 func (f *Fleet) started(m *Member, since time.Time) {
 	if since.IsZero() {
 		return // the first start is in the first list
 	}
+	f.mu.Lock()
+	m.starts++
+	f.mu.Unlock()
 	f.later(f.cfg.Add, m, func(m *Member) {
 		m.entry.State, m.entry.Since, m.listed = decide.Ready, since, true
 	})
@@ -227,9 +232,11 @@
 
 // goneUnlessBack takes an engine off the list unless it has started again by then.
 func (f *Fleet) goneUnlessBack(m *Member, after time.Duration, gone func(*Member)) {
-	before := m.Engine.Since()
+	f.mu.Lock()
+	before := m.starts
+	f.mu.Unlock()
 	f.later(after, m, func(m *Member) {
-		if m.Engine.Since().Equal(before) {
+		if m.starts == before {
 			gone(m)
 		}
 	})
