Rule 5: a state is not kept over connections to writers that do not come up

No release failed in the logs. PROTOCOL: while connections fail to come up, the time keeps running. At fault: ended() counted a failed dial like an attempt that had been out. Now the time runs on, and before the next dial could pass the limit the request is given up, at once, with its state let go.

Now two writers near the walk's first reader are asked with the readers, so the refusal goes by their word, what waits at them counted; if the read goes to another cell, writers there are asked while it reads.

Each guard's test was seen to fail without it.

--- a/decide/ask_test.go
+++ b/decide/ask_test.go
@@ -16,21 +16,37 @@
 	return set, list
 }
 
-// probes returns which servers are asked for their load.
-func probes(acts []Action) (out []ServerID) {
+// probes returns which servers are asked for their load: readers, whose ids are up to 10, and writers.
+func probes(acts []Action) (readers, writers []ServerID) {
 	for _, a := range acts {
-		if a.Kind == Probe {
-			out = append(out, a.Server)
+		if a.Kind == Probe && a.Server <= 10 {
+			readers = append(readers, a.Server)
+		} else if a.Kind == Probe {
+			writers = append(writers, a.Server)
 		}
 	}
-	return out
+	return readers, writers
 }
 
-// tells answers a probe with so many thousand tokens that wait.
-func (w *world) tells(s ServerID, waitingK float64) []Action {
+// tells answers a probe with a share of memory and so many thousand tokens that wait.
+func (w *world) tells(s ServerID, share, waitingK float64) []Action {
 	w.now += 2 * ms
 	return w.do(Event{Kind: Probed, Server: s, Outcome: Served, Spent: 2 * ms,
-		Report: Report{MemoryShare: -1, WaitingK: waitingK, Latency: -1}})
+		Report: Report{MemoryShare: share, WaitingK: waitingK, Latency: -1}})
+}
+
+// silent answers a probe with its time-out.
+func (w *world) silent(s ServerID) []Action {
+	return w.do(Event{Kind: Probed, Server: s, Outcome: TimedOut, Spent: w.r.set.DialTimeout})
+}
+
+// idle answers all probes: nothing waits, and little is held.
+func (w *world) idle(acts []Action) (last []Action) {
+	readers, writers := probes(acts)
+	for _, s := range append(writers, readers...) {
+		last = w.tells(s, 0.1, 0)
+	}
+	return last
 }
 
 // A reader's queue is made by routers of which this one hears nothing: it is asked for before the read.
@@ -55,9 +71,12 @@
 			_, acts := w.arrive(safe)
 			var asked []ServerID
 			for find(acts, Send) == nil && find(acts, Refuse) == nil {
-				round := probes(acts)
-				if len(round) == 0 {
-					t.Fatalf("nothing goes on after %v", asked)
+				round, writers := probes(acts)
+				if len(round) == 0 || len(writers) != 0 && len(asked) > 0 {
+					t.Fatalf("after %v: %v", asked, acts)
+				}
+				for _, s := range writers {
+					w.tells(s, 0.1, 0)
 				}
 				asked = append(asked, round...)
 				for _, s := range round {
@@ -65,7 +84,7 @@
 					if i := slices.Index(asked, s); i < len(tt.busy) {
 						queue = tt.busy[i]
 					}
-					acts = w.tells(s, queue)
+					acts = w.tells(s, 0, queue)
 				}
 			}
 			if len(asked) != tt.asked {
@@ -89,20 +108,9 @@
 	return t, set, list
 }
 
-// heard answers all probes that are out, each with a share of memory and the tokens that wait.
-func (w *world) heard(acts []Action, share func(ServerID) float64) (last []Action) {
-	for _, s := range probes(acts) {
-		w.now += 2 * ms
-		last = w.do(Event{Kind: Probed, Server: s, Outcome: Served, Spent: 2 * ms,
-			Report: Report{MemoryShare: share(s), WaitingK: 0, Latency: -1}})
-	}
-	return last
-}
-
-// While a prompt is read, two writers are asked, and the pick goes to the one that holds less; one that is full
-// gets nothing while others may fit; without an answer the pick goes on as ever.
-func TestWritersAreAskedWhileAPromptIsRead(t *testing.T) {
-	idle := func(ServerID) float64 { return 0 }
+// Two writers near the home are asked with the readers: the refusal and the pick go by their word, the one that
+// holds less first; without an answer all goes on as ever.
+func TestWritersAreAskedWithTheReaders(t *testing.T) {
 	for _, tt := range []struct {
 		name   string
 		shares [2]float64 // of the writers asked; negative: no answer
@@ -111,41 +119,94 @@
 		{"the first holds less", [2]float64{0.2, 0.6}, func(a []ServerID, got ServerID) bool { return got == a[0] }},
 		{"the second holds less", [2]float64{0.6, 0.2}, func(a []ServerID, got ServerID) bool { return got == a[1] }},
 		{"the first is full", [2]float64{0.99, 0.85}, func(a []ServerID, got ServerID) bool { return got == a[1] }},
-		{"both are full", [2]float64{0.99, 0.99}, func(a []ServerID, got ServerID) bool { return !slices.Contains(a, got) }},
+		{"both are full", [2]float64{0.99, 0.99}, nil},
 		{"neither answers", [2]float64{-1, -1}, func(a []ServerID, got ServerID) bool { return got != 0 }},
 		{"one answers", [2]float64{-1, 0.5}, func(a []ServerID, got ServerID) bool { return got == a[1] }},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			w := newWorld(sparseOf(t))
 			id, acts := w.arrive(safe)
-			acts = w.heard(acts, idle)
-			reader := w.sent(acts)
-			asked := probes(acts)
-			if len(asked) != 2 || asked[0] == asked[1] || asked[0] < 11 || asked[1] < 11 {
-				t.Fatalf("asked %v while reading, want two writers", asked)
+			readers, asked := probes(acts)
+			if len(asked) != 2 || asked[0] == asked[1] {
+				t.Fatalf("asked %v, want two writers", asked)
+			}
+			for _, s := range readers {
+				w.tells(s, 0, 0)
 			}
 			for i, s := range asked {
-				if tt.shares[i] >= 0 {
-					w.heard([]Action{{Kind: Probe, Server: s}}, func(ServerID) float64 { return tt.shares[i] })
+				if tt.shares[i] < 0 {
+					acts = w.silent(s)
+				} else {
+					acts = w.tells(s, tt.shares[i], 0)
 				}
 			}
-			if got := w.sent(w.end(id, 0, reader, ReadDone)); !tt.want(asked, got) {
+			if tt.want == nil {
+				if find(acts, Refuse) == nil {
+					t.Errorf("got %v, want a refusal", acts)
+				}
+				return
+			}
+			if got := w.sent(w.end(id, 0, w.sent(acts), ReadDone)); !tt.want(asked, got) {
 				t.Errorf("written at %d, asked %v", got, asked)
 			}
 		})
 	}
 }
 
+// What waits at a writer by its own word fills it as what it holds does.
+func TestAWritersQueueFillsIt(t *testing.T) {
+	w := newWorld(sparseOf(t))
+	_, acts := w.arrive(safe)
+	readers, writers := probes(acts)
+	for _, s := range readers {
+		w.tells(s, 0, 0)
+	}
+	for _, s := range writers {
+		acts = w.tells(s, 0.5, 75) // half of 150 thousand
+	}
+	if find(acts, Refuse) == nil {
+		t.Errorf("got %v, want a refusal", acts)
+	}
+}
+
+// When the read goes to another cell than the home's, writers of that cell are asked while it reads.
+func TestWritersAreAskedWhereTheReadIs(t *testing.T) {
+	set, list := sparse()
+	for i := range list {
+		if list[i].Server <= 10 {
+			list[i].Cell = int(list[i].Server) // each by itself
+		} else {
+			list[i].Cell = 0
+		}
+	}
+	w := newWorld(t, set, list)
+	_, acts := w.arrive(safe)
+	readers, writers := probes(acts)
+	for _, s := range writers {
+		w.tells(s, 0.1, 0)
+	}
+	w.tells(readers[0], 0, 50)
+	acts = w.tells(readers[1], 0, 0)
+	if got := w.sent(acts); got != readers[1] {
+		t.Fatalf("read at %d, want %d", got, readers[1])
+	}
+	if _, again := probes(acts); len(again) == 0 {
+		t.Errorf("no writer is asked: %v", acts)
+	}
+}
+
 // A reader that does not answer costs a probe's time-out and no more, and the other one asked gets the read.
 func TestSilentReadersAreNotWaitedFor(t *testing.T) {
 	w := newWorld(sparseOf(t))
 	_, acts := w.arrive(safe)
-	asked := probes(acts)
+	asked, writers := probes(acts)
 	if len(asked) != 2 {
 		t.Fatalf("asked %v, want two", asked)
 	}
-	w.tells(asked[1], 0)
-	acts = w.do(Event{Kind: Probed, Server: asked[0], Outcome: TimedOut, Spent: 250 * ms})
+	for _, s := range append(writers, asked[1]) {
+		w.tells(s, 0.1, 0)
+	}
+	acts = w.silent(asked[0])
 	if got := w.sent(acts); got != asked[1] {
 		t.Errorf("read at %d, want the one that answered, %d", got, asked[1])
 	}
@@ -156,13 +217,13 @@
 	w := newWorld(sparseOf(t))
 	_, first := w.arrive(safe) // of one shared text, so of one home
 	_, second := w.arrive(safe)
-	asked := probes(first)
-	if len(asked) != 2 || len(probes(second)) != 0 || find(second, Send) != nil {
-		t.Fatalf("first %v, second %v: want two probes, then none", first, second)
+	again, _ := probes(second)
+	if asked, _ := probes(first); len(asked) != 2 || len(again) != 0 || find(second, Send) != nil {
+		t.Fatalf("first %v, second %v: want two readers asked, then none", first, second)
 	}
-	w.tells(asked[0], 0)
+	w.idle(second)
 	sends := 0
-	for _, a := range w.tells(asked[1], 0) {
+	for _, a := range w.idle(first) {
 		if a.Kind == Send {
 			sends++
 		}
@@ -170,7 +231,8 @@
 	if sends != 2 {
 		t.Errorf("%d reads began, want 2", sends)
 	}
-	if _, acts := w.arrive(safe); len(probes(acts)) != 0 {
+	_, acts := w.arrive(safe)
+	if again, _ := probes(acts); len(again) != 0 {
 		t.Errorf("asked again at once: %v", acts)
 	}
 }
@@ -179,13 +241,16 @@
 func TestNoRequestWaitsForWhatOthersAsk(t *testing.T) {
 	w := newWorld(sparseOf(t))
 	first, acts := w.arrive(safe)
-	asked := probes(acts)
-	w.tells(asked[0], 0)
+	asked, writers := probes(acts)
+	for _, s := range append(writers, asked[0]) {
+		w.tells(s, 0.1, 0)
+	}
 	w.now += 2 * askFresh // the other is silent, and what this one told is no news any more
-	if _, acts := w.arrive(safe); !slices.Contains(probes(acts), asked[0]) {
-		t.Fatalf("the second request asks %v, want %d again", probes(acts), asked[0])
+	_, acts = w.arrive(safe)
+	if again, _ := probes(acts); !slices.Contains(again, asked[0]) {
+		t.Fatalf("the second request asks %v, want %d again", again, asked[0])
 	}
-	acts = w.do(Event{Kind: Probed, Server: asked[1], Outcome: TimedOut, Spent: 250 * ms})
+	acts = w.silent(asked[1])
 	for _, a := range acts {
 		if a.Kind == Send && a.Request == first {
 			return
@@ -198,10 +263,10 @@
 func TestSilentReadersCostOneTimeOut(t *testing.T) {
 	w := newWorld(sparseOf(t))
 	_, acts := w.arrive(safe)
-	round := probes(acts)
+	round, writers := probes(acts)
 	w.now += w.r.set.DialTimeout + ms
-	for _, s := range round {
-		acts = w.do(Event{Kind: Probed, Server: s, Outcome: TimedOut, Spent: w.r.set.DialTimeout})
+	for _, s := range append(writers, round...) {
+		acts = w.silent(s)
 	}
 	if len(round) != 2 || find(acts, Send) == nil {
 		t.Errorf("after %v were silent: %v, want a read", round, acts)
@@ -213,14 +278,45 @@
 	}
 }
 
+// Rule 5: a connection that does not come up claims no state. Before what is held would stay too long the request
+// is given up, and its state let go; nothing has run, so it is refused, also where nothing may be repeated.
+func TestStatesAreNotHeldOverDeadConnections(t *testing.T) {
+	for _, tt := range []struct {
+		letGo Duration
+		tries int // of writers, each with the dial's time-out
+	}{{1100 * ms, 4}, {800 * ms, 3}, {500 * ms, 2}, {300 * ms, 1}} {
+		set := settings()
+		set.LetGoWithin = tt.letGo
+		list := fleet()
+		for id := ServerID(14); id < 20; id++ {
+			list = append(list, Listing{Server: id, Kind: 1, Condition: Ready})
+		}
+		w := newWorld(t, set, list)
+		id, writer := w.read(unsafeClass)
+		for n := 1; ; n++ {
+			w.now += set.DialTimeout
+			acts := w.do(Event{Kind: Ended, Request: id, Attempt: n, Server: writer, Outcome: ConnectFailed,
+				Spent: set.DialTimeout})
+			if a := find(acts, Send); a != nil {
+				writer = a.Server
+				continue
+			}
+			if n != tt.tries || find(acts, Refuse) == nil || find(acts, Release) == nil {
+				t.Errorf("held for %d ms: after %d tries %v, want a refusal and a release after %d", tt.letGo/ms, n, acts, tt.tries)
+			}
+			break
+		}
+	}
+}
+
 // Rule 1 and the client's leave: who has gone while a reader was asked gets no attempt.
 func TestNothingIsSentForWhoLeftWhileReadersWereAsked(t *testing.T) {
 	w := newWorld(sparseOf(t))
 	id, acts := w.arrive(safe)
-	asked := probes(acts)
+	asked, writers := probes(acts)
 	w.do(Event{Kind: ClientGone, Request: id})
-	for _, s := range asked {
-		if acts := w.tells(s, 50); len(acts) != 0 { // crowded: for who waits, others would be asked
+	for _, s := range append(writers, asked...) {
+		if acts := w.tells(s, 0.1, 50); len(acts) != 0 { // crowded: for who waits, others would be asked
 			t.Fatalf("got %v for a client that has left", acts)
 		}
 	}
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -16,10 +16,8 @@
 	// spillShare of the least aim may the tokens waiting at a reader take, if all routers have as many there.
 	spillShare = 0.4
 	startPace  = 100e3 // ns to read a token, assumed before any read has been seen
-	// paceDown weighs a faster read, which met no queue, paceUp is the step after a slower one: a mean
-	// would shrink the spill bound under load, when to scatter the texts is dearest.
-	paceDown   = 0.2
-	paceUp     = 0.002
+	paceDown   = 0.2   // weighs a faster read, which met no queue; a mean would shrink the spill bound under
+	paceUp     = 0.002 // load, when to scatter the texts is dearest: this is the step after a slower one
 	paceTokens = 256.0 // the least that a read is taken for; under it its fixed time prevails
 	farCell    = 1.0   // own streams more may a writer of the reader's cell have,
 	farZone    = 2.0   // or its zone: a move crosses a shared link and has a price
@@ -139,11 +137,13 @@
 	expect    float64 // how long the attempt that is out should take, ns
 	state     *server // the reader at which a state waits
 	mayHold   bool    // something may be held for it
+	heldAt    Time    // since when, with no attempt that has come up
 	mayRun    bool    // an attempt may have run
 	runAt     Time    // when the first that may have run was sent
 	runOn     *server
 	tried     []*server
 	asked     []*server // were asked for their load for the next attempt
+	from      *server   // near which writers were asked
 	askAt     Time      // only what was asked by then is waited for
 	alone     bool      // no state is to be had: only a server that reads by itself will do
 	closed    bool
@@ -278,8 +278,7 @@
 	s.ready = ready
 }
 
-// forget drops what is known of servers that left long ago, lest a year of new ids fill the memory. One with
-// an attempt or a probe out stays: its outcome is still to be booked.
+// forget drops servers that left long ago, unless something is out there: a year of new ids fills the memory.
 func (r *Router) forget() {
 	r.order = slices.DeleteFunc(r.order, func(s *server) bool {
 		if s.ready || s.pending > 0 || s.streams > 0 || s.probing || r.now-s.leftAt < forgetAfter {
@@ -342,8 +341,7 @@
 	r.read(q)
 }
 
-// excess tells whether this router's part of a tenant's share is used up by what it let in: traffic beyond is
-// of little worth, so it is the first to go when anything runs short.
+// excess tells whether this router's part of a tenant's share is used up: traffic beyond is the first to go.
 func (r *Router) excess(q *request) bool {
 	if q.job.Tenant >= len(r.tenants) || r.set.Tenants[q.job.Tenant].PerSecond <= 0 {
 		return false
@@ -381,16 +379,15 @@
 
 // write sends a request whose state waits to a writer, or gives it up.
 func (r *Router) write(q *request) {
-	if s := r.pickWriter(q); s == nil || !r.send(q, s, writing) {
+	if s := r.pickWriter(q, true); s == nil || !r.send(q, s, writing) {
 		r.giveUp(q)
 	}
 }
 
-// refusal is how likely a request is to be refused at its arrival. It guards against every overload: what
-// would come late takes the place of what could come in time, and writers pushed over their memory do work
-// twice. It may harm when a few servers alone make the usual times.
+// refusal is how likely a request is to be refused at its arrival: what would come late takes the place of
+// what could come in time, and full writers work twice. It may harm when a few servers make the usual times.
 func (r *Router) refusal(q *request) float64 {
-	reader, writer := r.pickReader(q), r.pickWriter(q)
+	reader, writer := r.pickReader(q), r.pickWriter(q, true)
 	if reader == nil || writer == nil {
 		return 0 // sending will find out
 	}
@@ -482,6 +479,9 @@
 	r.unbook(q, s, ev)
 	was := q.stage
 	q.out = nil
+	if ev.Outcome != ConnectFailed {
+		q.heldAt = r.now
+	}
 	if was == reading && ev.Outcome == ReadDone {
 		if q.job.Prefix > 0 && s.kept[q.key] == 0 && r.many {
 			r.found += answerGain * (min(ev.Kept/q.job.Prefix, 1) - r.found)
@@ -503,8 +503,10 @@
 	switch {
 	case ev.Outcome == ReadDone:
 		r.write(q)
-	case ev.Outcome == Moot || float64(q.job.Deadline-r.now) <= r.usual(Writer, nil)*writeExpected:
-		// nothing more would be answered before the client leaves
+	case ev.Outcome == Moot || float64(q.job.Deadline-r.now) <= r.usual(Writer, nil)*writeExpected,
+		q.mayHold && ev.Outcome == ConnectFailed && r.now-q.heldAt+r.set.DialTimeout > r.set.LetGoWithin:
+		// Nothing more would be answered before the client leaves, or what is held would stay too long: no
+		// connection that does not come up claims it, and the next may not come up either.
 		r.giveUp(q)
 	case was == reading || ev.NoState:
 		q.state = nil
@@ -538,8 +540,7 @@
 		s.quietFrom = r.now
 	case Full:
 		s.quietFrom = r.now
-		// Guards against a server that turns away what its peers would take, as one that drains before the
-		// list says so. When half of a pool does, it is load, and benchIt leaves nobody out.
+		// Against one that turns away what its peers take. When half of a pool does, it is load: see benchIt.
 		if !ev.NoState {
 			r.bad(s, false)
 		}
@@ -589,8 +590,7 @@
 
 // --- reader choice ---
 
-// pickReader walks the key's readers from its home on and takes the first whose own waiting tokens are
-// under the spill bound; if all are past it, the one with the fewest.
+// pickReader walks from a key's home to the first under the spill bound, else takes the one with the fewest.
 func (r *Router) pickReader(q *request) *server {
 	for pass := range 3 {
 		strict, asked := pass < 2, pass == 0 // first those that were asked
@@ -642,8 +642,8 @@
 
 // pickWriter: among the writers that fit the fewest own streams, then the lowest D + W*N, ties at
 // random; when none fits, the smallest resulting footprint. Those that were asked come first, and D is what
-// they said then; while a prompt is read, the next to be asked is picked.
-func (r *Router) pickWriter(q *request) *server {
+// they said then; with heard false, the next to be asked is picked.
+func (r *Router) pickWriter(q *request, heard bool) *server {
 	for pass := range 3 {
 		strict, asked := pass < 2, pass == 0
 		var pick, fallback *server
@@ -653,8 +653,7 @@
 			if s.role&Writer == 0 || !r.candidate(q, s, writing, strict) {
 				continue
 			}
-			heard := slices.Contains(q.asked, s)
-			if asked && !(heard && s.toldAt >= q.sentAt) || heard && q.out != nil {
+			if one := slices.Contains(q.asked, s); asked && !(one && s.toldAt >= q.arrived) || one && !heard {
 				continue
 			}
 			print := r.footprint(s, q.job.Prompt)
@@ -667,7 +666,7 @@
 			n := float64(s.streams) + r.far(distance(q, s)) + r.crowded(q, s)
 			c := s.booked + streamWeight*float64(s.streams)
 			if asked {
-				n, c = float64(s.streams), print+s.queue/max(s.memory, 1)
+				n, c = float64(s.streams), print
 			}
 			switch {
 			case pick == nil || n < streams || n == streams && c < cost:
@@ -682,19 +681,21 @@
 		if pick != nil {
 			return pick
 		}
-		if fallback != nil && !asked {
+		if fallback != nil {
 			return fallback
 		}
 	}
 	return nil
 }
 
-// footprint is the share of a writer's memory that would be held with tokens more: its last report and
-// what this router has sent since.
+// footprint is the share of a writer's memory with tokens more: its last report and what was sent since.
 func (r *Router) footprint(s *server, tokens float64) float64 {
 	if s.memory <= 0 {
 		return max(0, s.share)
 	}
+	if r.asks() {
+		tokens += s.queue // waits there by its own word
+	}
 	return max(0, max(0, s.share)+s.sent/s.memory) + tokens/s.memory
 }
 
@@ -702,7 +703,7 @@
 func distance(q *request, s *server) int {
 	from := q.state
 	if from == nil {
-		from = q.out // it is being read
+		from = q.from
 	}
 	switch {
 	case from == nil || from.cell == s.cell:
@@ -713,17 +714,15 @@
 	return 2
 }
 
-// far is the handicap, in streams, of a writer to which the state must cross a link. It grows as first
-// tokens come later after such moves than after near ones, as in a jam, and fades when no news comes.
+// far is the handicap, in streams, of a writer across a link; it grows with jams and fades without news.
 func (r *Router) far(d int) float64 {
 	base := [...]float64{0, farCell, farZone}[d] * min(1, fewRouters/float64(r.set.Routers))
 	late := r.moved[d]/max(r.moved[0], writeExpected) - 1
 	return base * (1 + max(0, late)*decay(r.now-r.movedAt[d], jamSpan))
 }
 
-// crowded is a handicap under one stream: with many routers most writers have none of this one's, and the
-// nearest would always win. A cell with less of the writers than of the readers keeps as many of its states
-// as its part of the writers; the rest goes, by chance, where it is the other way round.
+// crowded is a handicap under one stream, lest many routers always take the nearest writer. A cell with less
+// of the writers than of the readers keeps as many of its states; the rest goes, by chance, the other way.
 func (r *Router) crowded(q *request, s *server) float64 {
 	chance := 1 / max(r.room[s.cell], 1)
 	if distance(q, s) == 0 {
@@ -735,7 +734,6 @@
 	return 0
 }
 
-// learnMove takes in the time from a send to a writer to its first token.
 func (r *Router) learnMove(d int, spent Duration) {
 	r.moved[d] += answerGain * (float64(spent) - r.moved[d])
 	r.movedAt[d] = r.now
@@ -743,8 +741,7 @@
 
 // --- guards ---
 
-// candidate tells whether a server may be picked; strict leaves out suspects and those that this
-// request has already tried.
+// candidate tells whether a server may be picked; strict leaves out suspects and those tried already.
 func (r *Router) candidate(q *request, s *server, st stage, strict bool) bool {
 	if !s.ready || r.spared(s) {
 		return false
@@ -784,7 +781,7 @@
 		q.tokens = r.fresh(q, s)
 		s.waiting += q.tokens
 		q.expect = r.readTime(s)
-		r.askWriters(q)
+		r.askWriters(q, s)
 	} else {
 		q.tokens = q.job.Prompt
 		s.streams++
@@ -796,8 +793,7 @@
 	return true
 }
 
-// mayRepeat is rule 2 for a send, to a reader too: once an attempt at a writer may have run, only the group
-// that drops its repeats may be sent anything.
+// mayRepeat is rule 2, for reads too: after what may have run, only the group that drops repeats is sent to.
 func (r *Router) mayRepeat(q *request, s *server) bool {
 	c := &r.set.Classes[q.job.Class]
 	if !q.mayRun || c.Repeat == Safe {
@@ -848,9 +844,8 @@
 }
 
 // coldGap is the time to the next send to a cold server after one of the given work (1 is the mean).
-// The budget of a window is guessed from the work that a warm server of the role does for this router: what
-// fails there is no capacity, and in a collapse most sends fail. A router that has not seen answers yet
-// sends nothing.
+// The budget of a window is guessed from the work that a warm server of the role does for this router (what
+// fails is no capacity: in a collapse most sends do). A router that has not seen answers yet sends nothing.
 func (r *Router) coldGap(role Role, work float64) Duration {
 	st := writing
 	if role&Writer == 0 {
@@ -875,8 +870,7 @@
 
 // --- health ---
 
-// suspect tells whether a server is left out: it keeps silent while attempts wait, or it is benched
-// and its trial is not due. What can't be repeated (once) is no trial.
+// suspect: a server keeps silent while attempts wait, or is benched; what is sent once is no trial.
 func (r *Router) suspect(s *server, once bool) bool {
 	if s.pending > 0 && float64(r.now-s.quietFrom) > r.quietLimit(s) {
 		return true
@@ -939,7 +933,6 @@
 	return times[len(times)/2]
 }
 
-// learn takes in an answer time.
 func (r *Router) learn(s *server, spent float64) {
 	r.timed = [Both + 1]bool{}
 	if s.answers == 0 {
@@ -1010,11 +1003,15 @@
 // asks tells whether servers are asked before they are picked: by many routers, where it is cheap.
 func (r *Router) asks() bool { return r.many && r.set.Probing && r.set.ProbeFee*askMost <= askPoints }
 
-// askWriters asks writers while a prompt is read, so that the pick goes by what they say then.
-func (r *Router) askWriters(q *request) {
-	q.asked = nil
-	for n := 0; n < askPair && r.asks(); n++ {
-		if s := r.pickWriter(q); s != nil {
+// askWriters asks writers near a reader, so that the refusal and the pick go by what they say then.
+func (r *Router) askWriters(q *request, from *server) {
+	if !r.asks() || q.from != nil && q.from.cell == from.cell {
+		return
+	}
+	q.from = from
+	q.asked = slices.DeleteFunc(q.asked, func(s *server) bool { return s.role != Reader })
+	for range askPair {
+		if s := r.pickWriter(q, false); s != nil {
 			q.asked = append(q.asked, s)
 			r.probe(s)
 		}
@@ -1024,8 +1021,9 @@
 // ask asks the next readers of the walk from a key's home for their load, and tells whether the request has
 // to wait for an answer. No second time-out is waited for, and none by who has little time left.
 func (r *Router) ask(q *request) bool {
+	roomy := func(s *server) bool { return s.role == Reader && r.told(s) && r.hasRoom(q, s) }
 	if !r.asks() || r.now-q.arrived > r.set.DialTimeout || q.job.Deadline-r.now < 2*r.set.DialTimeout ||
-		slices.ContainsFunc(q.asked, func(s *server) bool { return r.told(s) && r.hasRoom(q, s) }) {
+		slices.ContainsFunc(q.asked, roomy) {
 		return false
 	}
 	var walk []*server
@@ -1036,7 +1034,10 @@
 	}
 	slices.SortFunc(walk, func(a, b *server) int { return cmp.Compare(q.nearness(b), q.nearness(a)) })
 	waits := false
-	for _, s := range walk[:max(0, min(askPair, askMost-len(q.asked), len(walk)))] {
+	if len(walk) > 0 && len(q.asked) == 0 {
+		r.askWriters(q, walk[0])
+	}
+	for _, s := range walk[:max(0, min(askPair, askPair+askMost-len(q.asked), len(walk)))] {
 		q.asked = append(q.asked, s)
 		if !r.told(s) {
 			waits = true
@@ -1130,8 +1131,7 @@
 // readTime is how long the own tokens that wait at a reader should take to read.
 func (r *Router) readTime(s *server) float64 { return (r.backlog(s) + paceTokens) * r.pace }
 
-// capFor is an attempt's time-out: a share of the aim, but well over what is usual for the work. What
-// can't be repeated waits as long as its client does.
+// capFor is a time-out: a share of the aim, well over the usual; what can't be repeated waits to the end.
 func (r *Router) capFor(q *request) Duration {
 	left := q.job.Deadline - r.now
 	share, role := readCap, Reader
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -922,7 +922,7 @@
 	sent := [2][2]int{}
 	for i := 0; i < 300; i++ {
 		q := &request{job: Job{Prompt: 1000}, state: w.r.servers[ServerID(1+i%2*4)]}
-		sent[q.state.cell][w.r.pickWriter(q).cell]++
+		sent[q.state.cell][w.r.pickWriter(q, true).cell]++
 	}
 	if kept := sent[0][0]; kept < 30 || kept > 75 {
 		t.Errorf("the crowded cell kept %d of 150 states, about a third expected", kept)
