Tests: routers and fleets on sockets are tested one package at a time, after builds

In a new clone the new test of the deploy file compiles the whole program beside the packages that keep time on sockets.

--- a/test.sh
+++ b/test.sh
@@ -8,7 +8,12 @@
 	exit 1
 fi
 go vet ./...
-# Simulated runs use every core for as long as they last, which would starve the tests that keep time on sockets.
+# What keeps time on sockets would starve beside builds and simulated runs, which use every core as long as they
+# last: the program that the deploy file names is built first, whole routers and fleets are tested one package at a
+# time, and simulated runs come last.
+CGO_ENABLED=1 go build -ldflags=-linkmode=external -o /dev/null ./cmd/mintdoor
+sockets='/(cmd/mintdoor|internal/(day|e2e))$'
 simulated='/internal/(sim|swing)$'
-go test -race -count=1 $(go list ./... | grep -Ev "$simulated")
+go test -race -count=1 $(go list ./... | grep -Ev "$sockets|$simulated")
+go test -race -count=1 -p 1 $(go list ./... | grep -E "$sockets")
 go test -race -count=1 $(go list ./... | grep -E "$simulated")
