Tests: names decide nothing; the clock of 6 s of what the router believes

The watch's test holds that a change is told within 6 s though after a silent watch two more calls fail at the longest pause; another that failed calls are repeated, whole. Scaled times are not tested: the module's own times are absolute.

--- /dev/null
+++ b/decide/names_test.go
@@ -0,0 +1,163 @@
+package decide
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"reflect"
+	"testing"
+)
+
+// naming puts other numbers in the place of those by which the settings and the list name things.
+type naming struct{ class, kind, zone, cell, tenant func(int) int }
+
+func same(n int) int { return n }
+
+// order returns a map that puts i in the place of perm's i-th number.
+func order(perm ...int) func(int) int { return func(n int) int { return perm[n] } }
+
+// named is a deployment with two classes, three kinds, two zones, four cells and two tenants.
+func named(by naming, routers int) (*Settings, []Listing) {
+	set := settings()
+	set.Routers, set.Probing, set.ProbeFee = routers, true, 0.002
+	classes := []Class{set.Classes[safe], set.Classes[unsafeClass]}
+	classes[1].Worth, classes[1].Aim = 3, 2*Second
+	kinds := []Kind{{Role: Reader, Memory: 200e3}, {Role: Writer, Memory: 150e3}, {Role: Both, Memory: 100e3}}
+	tenants := []Tenant{{PerSecond: 40}, {PerSecond: 8}}
+	set.Classes, set.Kinds, set.Tenants = make([]Class, 2), make([]Kind, 3), make([]Tenant, 2)
+	for i := range classes {
+		set.Classes[by.class(i)] = classes[i]
+	}
+	for i := range kinds {
+		set.Kinds[by.kind(i)] = kinds[i]
+	}
+	for i := range tenants {
+		set.Tenants[by.tenant(i)] = tenants[i]
+	}
+	set.Zone = by.zone(0)
+	var list []Listing
+	for id := range 24 {
+		list = append(list, Listing{Server: ServerID(id + 1), Kind: by.kind(id % 3), Zone: by.zone(id % 4 / 2),
+			Cell: by.cell(id % 4), Condition: Ready})
+	}
+	return set, list
+}
+
+// story plays a day of chance on a module and returns all that it did. What engines answer hangs on the actions'
+// order alone.
+func story(by naming, routers int) []Action {
+	set, list := named(by, routers)
+	rng := rand.New(rand.NewPCG(3, uint64(routers)))
+	now := 1000 * Second
+	r := New(set, 11, now)
+	var all []Action
+	type event struct {
+		at Time
+		ev Event
+	}
+	var due []event
+	do := func(ev Event) {
+		ev.Report.Latency = -1
+		if ev.Kind != Probed {
+			ev.Report.MemoryShare, ev.Report.WaitingK = -1, -1
+		}
+		acts := r.Handle(now, &ev, nil)
+		for _, a := range acts {
+			after := Duration(rng.IntN(200)) * ms
+			switch a.Kind {
+			case Send:
+				kind := r.servers[a.Server].role
+				out := Event{Kind: Ended, Request: a.Request, Server: a.Server, Attempt: r.requests[a.Request].attempts - 1,
+					Spent: after}
+				switch n := rng.IntN(10); {
+				case n == 0:
+					out.Outcome = []Outcome{Error, Full, TimedOut, ConnectFailed, Reset}[rng.IntN(5)]
+				case kind == Reader:
+					out.Outcome = ReadDone
+				default:
+					due = append(due, event{now + after/2, Event{Kind: FirstToken, Request: a.Request, Server: a.Server,
+						Attempt: out.Attempt, Spent: after / 2}})
+					out.Outcome, out.Closed = Served, true
+				}
+				due = append(due, event{now + after, out})
+			case Probe:
+				due = append(due, event{now + after/10, Event{Kind: Probed, Server: a.Server, Spent: after / 10,
+					Report: Report{MemoryShare: rng.Float64(), WaitingK: 20 * rng.Float64()}}})
+			}
+		}
+		all = append(all, acts...)
+	}
+	do(Event{Kind: ListCached, Servers: list})
+	for id := RequestID(1); id < 800; id++ {
+		now += Duration(rng.IntN(20)) * ms
+		for len(due) > 0 {
+			first := 0
+			for i := range due {
+				if due[i].at < due[first].at {
+					first = i
+				}
+			}
+			e := due[first]
+			if e.at > now {
+				break
+			}
+			due = append(due[:first], due[first+1:]...)
+			do(e.ev)
+		}
+		if id%8 == 0 {
+			do(Event{Kind: Timer})
+		}
+		if id%100 == 0 {
+			l := list[rng.IntN(len(list))]
+			l.Since = now
+			do(Event{Kind: ListChanged, Servers: []Listing{l}})
+		}
+		do(Event{Kind: Arrived, Request: id, Job: Job{Class: by.class(rng.IntN(2)), Tenant: by.tenant(rng.IntN(2)),
+			Session: uint64(rng.IntN(50) + 1), Text: uint64(rng.IntN(9)), Prompt: 100 + 4000*rng.Float64(),
+			Prefix: 80, MaxOut: 300, Deadline: now + 4*Second}})
+	}
+	return all
+}
+
+// Nothing hangs on what classes, kinds, zones, cells or tenants are called, or in which order the settings name
+// them: the same day under other names gets the same decisions.
+func TestNamesDecideNothing(t *testing.T) {
+	for _, routers := range []int{3, 60} {
+		plain := naming{same, same, same, same, same}
+		want := story(plain, routers)
+		sends, refusals, asked := 0, 0, 0
+		for _, a := range want {
+			switch a.Kind {
+			case Send:
+				sends++
+			case Refuse:
+				refusals++
+			case Probe:
+				asked++
+			}
+		}
+		if sends < 400 || refusals < 10 || asked < 10 {
+			t.Fatalf("%d routers: %d sends, %d refusals and %d probes say little", routers, sends, refusals, asked)
+		}
+		for name, change := range map[string]func(*naming){
+			"classes": func(n *naming) { n.class = order(1, 0) },
+			"kinds":   func(n *naming) { n.kind = order(2, 0, 1) },
+			"zones":   func(n *naming) { n.zone = order(77, 5) },
+			"cells":   func(n *naming) { n.cell = order(9, 1000, 3, 40) },
+			"tenants": func(n *naming) { n.tenant = order(1, 0) },
+		} {
+			t.Run(fmt.Sprintf("%d routers/%s", routers, name), func(t *testing.T) {
+				by := plain
+				change(&by)
+				got := story(by, routers)
+				for i := range want {
+					if i >= len(got) || !reflect.DeepEqual(got[i], want[i]) {
+						t.Fatalf("action %d of %d is another", i, len(want))
+					}
+				}
+				if len(got) != len(want) {
+					t.Errorf("%d actions, want %d", len(got), len(want))
+				}
+			})
+		}
+	}
+}
--- a/internal/discovery/watch/watch_test.go
+++ b/internal/discovery/watch/watch_test.go
@@ -215,9 +215,40 @@
 	}
 }
 
-// What a silent watch costs is bounded: its list is old by no more than the wait and the time for an answer.
+// What a silent watch costs is bounded: its list is old by no more than the wait and the time for an answer. And the
+// clock of the standing test: whatever the router believes is at most 6 s old, though after a watch that fell silent
+// two more calls in a row are silent or refused, at the longest pause.
 func TestWaitsAreShort(t *testing.T) {
 	if most := 2 * time.Second; waitFor+listWithin > most {
 		t.Errorf("a silent watch is noticed after %v", waitFor+listWithin)
 	}
+	if most := 6 * time.Second; waitFor+listWithin+2*(mostPause+listWithin) > most {
+		t.Errorf("a change may be told after %v", waitFor+listWithin+2*(mostPause+listWithin))
+	}
+}
+
+// However many calls fail, the next comes after the longest pause, and the whole list is asked for.
+func TestFailedCallsAreRepeated(t *testing.T) {
+	answers := []string{list(41, true, member("s1", "h:1", "up", 0))}
+	for range 6 {
+		answers = append(answers, "status 503")
+	}
+	a := newAgent(t, append(answers, list(42, true, member("s1", "h:1", "draining", 0)))...)
+	told := run(t, New(a.addr(), []string{"m2"}, nil, quiet()))
+	for i := range 8 {
+		want := "failed"
+		if i == 0 {
+			want = "s1 h:1 up 0"
+		} else if i == 7 {
+			want = "s1 h:1 draining 0"
+		}
+		if got := next(t, told); got != want {
+			t.Fatalf("word %d: %q, want %q", i, got, want)
+		}
+	}
+	for i, got := range a.requests()[2:8] {
+		if got != ListPath {
+			t.Errorf("call %d after a failure: %s, want the whole list", i, got)
+		}
+	}
 }
