Cold budget: when all servers of a role are cold, what the last warm one did holds

From 18 s on nearly all is refused after one attempt (118 'refused', attempts=1): the prompt is read, and there is no writer to send to. All writers had been replaced, so all were cold, and spared() kept each for ColdFor: coldGap guesses the budget from the answers of warm servers, of which there were none. At fault: the division by max(warm, 1), which with no warm server first takes the whole router's work for one server's (in the test 36 sends in a window where 14 are allowed), and then decays to nothing in 5 s. Change: what a warm server did is noted with each of its answers and holds while there is none. Test: TestAllColdServersGetTheirBudget, seen to fail on either fault.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -49,9 +49,8 @@
 	coldChance     = 1.0        // sends are held back in proportion to its smallness (b*b/(b+coldChance))
 	mixGain        = 0.05       // weighs a send in the mean work: rare heavy classes must count
 	rateSpan       = 5 * Second // memory of the work rates that the cold budget is guessed from
-	// admitShare of the aim may the predicted wait reach before requests are refused at their arrival, the
-	// steeper the greater admitPower is. Some are always let in, so that the end of the trouble is seen. A
-	// prompt's bare read is not held against it, but what its tokens take longer under load is.
+	// admitShare of the aim may the predicted wait, beyond a bare read, reach before requests are refused,
+	// the steeper the greater admitPower is. Some are always let in, so that the end of the trouble is seen.
 	admitShare = 0.45
 	admitPower = 4.0
 	fadeSpan   = 2 * Second // an answer time counts whole for so long, then fades as fast
@@ -166,6 +165,7 @@
 	mostWorth float64
 	many      bool       // more than fewRouters
 	dones     [3]rate    // by stage, weighed by their work (1 is the mean)
+	perWarm   [3]float64 // work a second of a warm server, for this router; kept while there is none
 	meanWork  [3]float64 // of one send at a stage
 	moved     [3]float64 // usual time to a first token by the distance of the move, ns
 	movedAt   [3]Time
@@ -341,7 +341,7 @@
 	r.read(q)
 }
 
-// excess tells whether this router's part of a tenant's share is used up: traffic beyond is the first to go.
+// excess: this router's part of a tenant's share is used up; traffic beyond is the first to go.
 func (r *Router) excess(q *request) bool {
 	if q.job.Tenant >= len(r.tenants) || r.set.Tenants[q.job.Tenant].PerSecond <= 0 {
 		return false
@@ -354,7 +354,7 @@
 }
 
 // books is the share of the sound writers' memory that is held if every router holds as much as this one.
-// It shows at once what reports tell late, and may harm a router with far more than its part of the traffic.
+// It shows at once what reports tell late; it may harm a router with more than its part of the traffic.
 func (r *Router) books() float64 {
 	booked, memory := 0.0, 0.0
 	for _, s := range r.order {
@@ -843,24 +843,24 @@
 	return r.cold(s) && r.now-s.coldAt < r.coldGap(s.role, s.coldWork)
 }
 
-// coldGap is the time to the next send to a cold server after one of the given work (1 is the mean).
-// The budget of a window is guessed from the work that a warm server of the role does for this router (what
-// fails is no capacity: in a collapse most sends do). A router that has not seen answers yet sends nothing.
+// coldGap is the time to the next send to a cold server after one of the given work (1 is the mean). The
+// budget is guessed from the work that a warm one does for this router (no failures), or did when
+// the last was there: all may be cold. A router that has not seen answers yet sends nothing.
 func (r *Router) coldGap(role Role, work float64) Duration {
 	st := writing
 	if role&Writer == 0 {
 		st = reading
 	}
-	warm := r.count(role, func(s *server) bool { return !r.cold(s) })
-	per := r.dones[st].perSecond(r.now) / max(float64(warm), 1)
+	if warm := r.count(role, func(s *server) bool { return !r.cold(s) }); warm > 0 {
+		r.perWarm[st] = r.dones[st].perSecond(r.now) / float64(warm)
+	}
 	window := float64(r.set.OverloadFor) / float64(Second)
-	budget := r.set.FallMultiple * r.set.StartCapacity * per * window * float64(r.set.Routers)
+	budget := r.set.FallMultiple * r.set.StartCapacity * r.perWarm[st] * window * float64(r.set.Routers)
 	budget = coldMargin * budget * budget / (budget + coldChance) / float64(r.set.Routers)
 	gap := work * window / max(budget, 1e-9) * float64(Second)
 	return Duration(min(gap, float64(r.set.ColdFor)))
 }
 
-// workOf is the mean work of a request's class at a stage.
 func (r *Router) workOf(q *request, st stage) float64 {
 	if st == reading {
 		return r.work[q.job.Class].prompt
@@ -886,7 +886,6 @@
 	return max(quietTypical*r.usual(s.role, s)*expect, quietFloor*float64(r.leastAim))
 }
 
-// timeOf tells whether a server's answer time counts among those of a role.
 func (r *Router) timeOf(s *server, role Role) bool {
 	return s.role&role != 0 && s.ready && (s.answers >= slowSamples || r.many && s.answers > 0)
 }
@@ -951,6 +950,7 @@
 		}
 		*mean += mixGain * (work - *mean)
 		r.dones[q.stage].add(r.now, work/max(*mean, 1))
+		r.coldGap(s.role, 1) // notes what a warm one does
 	}
 	s.failing *= 1 - failGain
 	usual := r.usual(s.role, s)
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -312,6 +312,52 @@
 	}
 }
 
+// All writers of a fleet may be replaced at once. Those that come are all cold, and there is no warm one to guess
+// the budget from: what the last did holds. They get work, and no more than their budget in any window.
+func TestAllColdServersGetTheirBudget(t *testing.T) {
+	w := newWorld(t, settings(), fleet())
+	for range 300 {
+		w.serve() // 20 a second on three writers
+	}
+	w.do(Event{Kind: ListChanged, Servers: []Listing{
+		{Server: 11, Kind: 1, Condition: Gone}, {Server: 12, Kind: 1, Condition: Gone}, {Server: 13, Kind: 1, Condition: Gone},
+		{Server: 21, Kind: 1, Condition: Ready, Since: w.now}, {Server: 22, Kind: 1, Condition: Ready, Since: w.now}}})
+	began := w.now
+	cold := map[ServerID][]Time{}
+	for w.now-began < 9*Second {
+		w.now += 10 * ms
+		id, acts := w.arrive(safe)
+		reader := find(acts, Send)
+		if reader == nil {
+			continue
+		}
+		w.now += 25 * ms
+		acts = w.do(Event{Kind: Ended, Request: id, Server: reader.Server, Outcome: ReadDone, Spent: 25 * ms, Kept: 800})
+		if a := find(acts, Send); a != nil {
+			cold[a.Server] = append(cold[a.Server], w.now)
+			w.do(Event{Kind: FirstToken, Request: id, Attempt: 1, Server: a.Server, Spent: 10 * ms})
+			w.do(Event{Kind: Ended, Request: id, Attempt: 1, Server: a.Server, Outcome: Served, Spent: 25 * ms, Closed: true})
+		}
+	}
+	// A warm writer did a third of twenty a second for this router; of two routers and a budget of four times a
+	// quarter of that in 2 s each may send some 13.
+	for s, sends := range cold {
+		n, last := 0, 0
+		for i, at := range sends {
+			for sends[n] < at-2*Second {
+				n++
+			}
+			last = max(last, i-n+1)
+		}
+		if last > 14 {
+			t.Errorf("%d sends to the cold writer %d within a window", last, s)
+		}
+	}
+	if late := w.now - 4*Second; len(cold) != 2 || cold[21][len(cold[21])-1] < late || cold[22][len(cold[22])-1] < late {
+		t.Errorf("the cold writers were starved: %d and %d sends", len(cold[21]), len(cold[22]))
+	}
+}
+
 // serve takes one request to its end in 50 ms and returns its writer.
 func (w *world) serve() ServerID {
 	w.t.Helper()
