--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -335,7 +335,9 @@
 		acts = w.do(Event{Kind: Ended, Request: id, Server: reader.Server, Outcome: ReadDone, Spent: 25 * ms, Kept: 800})
 		if a := find(acts, Send); a != nil {
 			cold[a.Server] = append(cold[a.Server], w.now)
+			w.now += 10 * ms
 			w.do(Event{Kind: FirstToken, Request: id, Attempt: 1, Server: a.Server, Spent: 10 * ms})
+			w.now += 15 * ms // as long as before: an answer's time is its work
 			w.do(Event{Kind: Ended, Request: id, Attempt: 1, Server: a.Server, Outcome: Served, Spent: 25 * ms, Closed: true})
 		}
 	}
