A state may outlast dials for most of the sockets' slack before its request is given up

Its rule 5 allows 300 ms and a dial takes 250, so one failed dial gave a request up. At 500 ms that is two dials as before, at 1 s four, at 300 ms two.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -44,6 +44,7 @@
 	failLimit      = 0.3
 	failAfterTrial = 0.25       // of a server that came back: one failure makes it suspect again
 	firstBench     = 1 * Second // how long a suspect server is left out before a trial, at first
+	holdSlack      = 225e6      // ns of the 300 ms that sockets add to rule 5; letting go takes time too
 	longestBench   = 8 * Second // ... and at most
 	coldMargin     = 0.9        // of this router's share of a cold budget is used: routers are unequal
 	coldChance     = 1.0        // sends are held back in proportion to its smallness (b*b/(b+coldChance))
@@ -504,7 +505,8 @@
 	case ev.Outcome == ReadDone:
 		r.write(q)
 	case ev.Outcome == Moot || float64(q.job.Deadline-r.now) <= r.usual(Writer, nil)*writeExpected,
-		q.mayHold && ev.Outcome == ConnectFailed && r.now-q.heldAt+r.set.DialTimeout > r.set.LetGoWithin:
+		q.mayHold && ev.Outcome == ConnectFailed &&
+			r.now-q.heldAt+r.set.DialTimeout > r.set.LetGoWithin+holdSlack:
 		// Nothing more would be answered before the client leaves, or what is held would stay too long: no
 		// connection that does not come up claims it, and the next may not come up either.
 		r.giveUp(q)
@@ -917,7 +919,6 @@
 	return times[n/2]
 }
 
-// median is that of a measure of the servers of a role.
 func (r *Router) median(role Role, of func(*server) float64) float64 {
 	var times []float64
 	for _, s := range r.order {
@@ -1120,8 +1121,6 @@
 	}
 }
 
-// --- small helpers ---
-
 // aim is the time within which a request's first token is wanted.
 func (r *Router) aim(q *request) Duration {
 	c := &r.set.Classes[q.job.Class]
