--- a/internal/front/chat/answer.go
+++ b/internal/front/chat/answer.go
@@ -162,11 +162,12 @@
 		if n >= grown {
 			return errNoRoom
 		}
-		taken := c.front.bodies.Add(int64(grown) - c.room)
-		c.room = int64(grown) // dropAhead gives it back
-		if taken > c.front.opts.BodyBytes {
+		more := int64(grown) - c.room
+		if c.front.bodies.Add(more) > c.front.opts.BodyBytes {
+			c.front.bodies.Add(-more)
 			return errNoRoom
 		}
+		c.room = int64(grown) // dropAhead gives it back
 		c.ahead = append(make([]byte, 0, grown), c.ahead...)
 	}
 	n, err := c.Conn.Read(c.ahead[len(c.ahead):cap(c.ahead)])
--- a/internal/front/chat/leave_test.go
+++ b/internal/front/chat/leave_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -118,3 +119,15 @@
 		t.Errorf("%v %v", resp, err)
 	}
 }
+
+// Where the bodies have no room left nothing is read ahead, and nothing is counted for it.
+func TestNoRoomToReadAhead(t *testing.T) {
+	f := New(Options{BodyBytes: readBuffer - 1}, nil)
+	c := &conn{front: f}
+	if err := c.readAhead(); !errors.Is(err, errNoRoom) {
+		t.Errorf("got %v", err)
+	}
+	if n := f.bodies.Load(); n != 0 || c.room != 0 {
+		t.Errorf("%d bytes are counted, %d for this connection", n, c.room)
+	}
+}
