Logs tell each step of a request in a shutdown, and reasons of closes and refusals

Change: internal/guard keeps a trail of each request from its first byte (complete, accepted, attempts and how they ended, first token, client left, final answer, close). The line of the final answer has it; after SIGTERM every open request is logged with it and each step as it happens; else steps are debug lines. The drain logs every 0.5 s that it goes on. Closes of clients' connections and the module's refusals name their reasons. No decision changes.

--- a/decide/api.go
+++ b/decide/api.go
@@ -213,8 +213,8 @@
 const (
 	Send    ActionKind = iota // Request, Server, After (the time-out; 0: until the client gives up)
 	Cancel                    // Request, Attempt
-	Refuse                    // Request, After (stay away so long)
-	Fail                      // Request
+	Refuse                    // Request, After (stay away so long), Text (the reason)
+	Fail                      // Request, Text (the reason)
 	Release                   // Request
 	Move                      // Request
 	WakeMe                    // After, Token
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -312,7 +312,7 @@
 // arrive takes a new request and sends it to a reader.
 func (r *Router) arrive(ev *Event) {
 	if ev.Job.Class >= len(r.set.Classes) { // of unknown effect
-		r.act(Action{Kind: Fail, Request: ev.Request})
+		r.act(Action{Kind: Fail, Request: ev.Request, Text: "its class is unknown"})
 		return
 	}
 	q := &request{id: ev.Request, job: ev.Job, arrived: r.now, key: ev.Job.Text}
@@ -333,7 +333,7 @@
 // admit refuses a request or begins with it.
 func (r *Router) admit(q *request) {
 	if r.random() < r.refusal(q) {
-		r.giveUp(q)
+		r.giveUp(q, "the answer would come late")
 		return
 	}
 	if n := q.job.Tenant; n < len(r.tenants) {
@@ -381,7 +381,7 @@
 // write sends a request whose state waits to a writer, or gives it up.
 func (r *Router) write(q *request) {
 	if s := r.pickWriter(q, true); s == nil || !r.send(q, s, writing) {
-		r.giveUp(q)
+		r.giveUp(q, "no server may be tried")
 	}
 }
 
@@ -509,7 +509,7 @@
 			r.now-q.heldAt+r.set.DialTimeout > r.set.LetGoWithin+holdSlack:
 		// Nothing more would be answered before the client leaves, or what is held would stay too long: no
 		// connection that does not come up claims it, and the next may not come up either.
-		r.giveUp(q)
+		r.giveUp(q, "no time for another attempt")
 	case was == reading || ev.NoState:
 		q.state = nil
 		r.read(q)
@@ -809,16 +809,16 @@
 }
 
 // giveUp is the only way to a final answer of this router's own: refused where rule 2 lets it promise
-// that a retry is harmless, else failed. Rule 1: at once, and once.
-func (r *Router) giveUp(q *request) {
+// that a retry is harmless, else failed. Rule 1: at once, and once. The reason is for the log.
+func (r *Router) giveUp(q *request, reason string) {
 	if q.closed {
 		return
 	}
 	c := &r.set.Classes[q.job.Class]
 	if !q.mayRun || c.Repeat == Safe || c.Repeat == Keyed && c.Scope == ScopeAll {
-		r.act(Action{Kind: Refuse, Request: q.id, After: r.set.MaxRetryAfter})
+		r.act(Action{Kind: Refuse, Request: q.id, After: r.set.MaxRetryAfter, Text: reason})
 	} else {
-		r.act(Action{Kind: Fail, Request: q.id})
+		r.act(Action{Kind: Fail, Request: q.id, Text: reason})
 	}
 	r.close(q)
 }
--- a/internal/front/chat/answer.go
+++ b/internal/front/chat/answer.go
@@ -61,6 +61,9 @@
 	if text != "" {
 		body = []byte(text + "\n")
 	}
+	if c.request != nil {
+		c.request.Answered(strconv.Itoa(code) + " " + text)
+	}
 	c.SetWriteDeadline(time.Now().Add(f.opts.Stall))
 	_, err := c.Write(f.answer(code, "text/plain", body, retryAfter, closes))
 	c.whole = err == nil
@@ -86,6 +89,7 @@
 			buf = buf[:0]
 			if !begun {
 				begun = true
+				c.request.Answered("200")
 				closes = closes || c.front.last.Load()
 				buf = append(buf, "HTTP/1.1 200 OK\r\nContent-Type: "+platform.EventsType+"\r\nCache-Control: no-store\r\n"...)
 				if closes {
--- a/internal/front/chat/chat.go
+++ b/internal/front/chat/chat.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"mintdoor/internal/front"
+	"mintdoor/internal/guard"
 )
 
 // Bounds of what a client may send.
@@ -44,6 +45,7 @@
 	Idle       time.Duration // a connection between requests is closed after this
 	Stall      time.Duration // a client that takes nothing for so long has left
 	Log        *slog.Logger
+	Guard      *guard.Guard // of all requests of the process; nil: one of the front's own
 }
 
 // Front serves clients. Make it with New.
@@ -69,6 +71,9 @@
 
 // New returns a front that hands requests to core.
 func New(opts Options, core front.Core) *Front {
+	if opts.Guard == nil {
+		opts.Guard = guard.New(opts.Log)
+	}
 	f := &Front{opts: opts, core: core, log: opts.Log, lingerFor: lingerFor, stopListened: make(chan struct{})}
 	f.conns.limit, f.conns.refused = opts.MaxConns, opts.MaxRefused
 	return f
--- a/internal/front/chat/conn.go
+++ b/internal/front/chat/conn.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"mintdoor/internal/front"
+	"mintdoor/internal/guard"
 	"mintdoor/internal/http1"
 	"mintdoor/internal/platform"
 	"mintdoor/internal/router"
@@ -27,6 +28,9 @@
 	room  int64  // that ahead takes of the room for bodies
 	entry entry  // of conns
 	whole bool   // the last answer was written to its end
+
+	request *guard.Request // the one that is open; nil between requests
+	ended   string         // why its goroutine ends
 }
 
 // Read is br's source: first what was read ahead.
@@ -51,6 +55,7 @@
 			return
 		}
 		if err := c.awaitRequest(); err != nil {
+			c.ended = "no request: " + err.Error()
 			if c.whole = false; first {
 				c.unreadable(err)
 			}
@@ -64,7 +69,11 @@
 			within = latest(c.began.Add(f.opts.Within), time.Now().Add(f.opts.Within/4))
 		}
 		c.SetReadDeadline(within)
-		if !c.request(ctx) {
+		c.request = f.opts.Guard.Receive()
+		more := c.takeRequest(ctx)
+		c.ended = c.end(more)
+		c.request.Closed(c.ended)
+		if c.request = nil; !more {
 			return
 		}
 	}
@@ -130,8 +139,19 @@
 	io.CopyN(io.Discard, r, lingerBytes)
 }
 
-// request takes one request and answers it. It reports whether the connection can take another.
-func (c *conn) request(ctx context.Context) bool {
+// end says how a request has ended for its connection.
+func (c *conn) end(more bool) string {
+	switch {
+	case more:
+		return "the connection rests"
+	case c.whole:
+		return "last answer on the connection"
+	}
+	return "the answer is not whole"
+}
+
+// takeRequest takes one request and answers it. It reports whether the connection can take another.
+func (c *conn) takeRequest(ctx context.Context) bool {
 	f := c.front
 	c.whole = false
 	head, err := http1.ReadHead(c.br, maxHead)
@@ -170,6 +190,8 @@
 		}
 		return c.fail(bad, true)
 	}
+	job.Guarded = c.request
+	c.request.Complete(job.Name, job.Deadline)
 	q, err := f.core.Submit(job)
 	if err != nil {
 		if errors.Is(err, router.ErrOpen) {
--- a/internal/front/chat/conns.go
+++ b/internal/front/chat/conns.go
@@ -19,6 +19,10 @@
 	closed
 )
 
+func (s connState) String() string {
+	return [...]string{"fresh", "resting", "receiving", "open", "lingering", "closed"}[s]
+}
+
 // conns is all connections of clients. When there is no room, one on which nothing is owed is closed: a lingering one,
 // else the one that has waited for a request for longest (PROTOCOL: a connection between requests may be closed).
 // A connection leaves the states fresh and resting before the first byte of its request is read, under the same lock
@@ -95,7 +99,7 @@
 // long without an end are to be answered as late, which makes room for others that come. mu is held.
 func (s *conns) evict() bool {
 	if e := s.waiting.Front(); e != nil {
-		s.shut(e.Value.(*conn))
+		s.shut(e.Value.(*conn), "room is needed")
 		return true
 	}
 	for e := s.receiving.Front(); e != nil; e = e.Next() {
@@ -112,10 +116,11 @@
 var past = time.Unix(1, 0)
 
 // shut closes a connection; its goroutine ends by itself. mu is held.
-func (s *conns) shut(c *conn) {
+func (s *conns) shut(c *conn, reason string) {
 	if c.entry.state == closed {
 		return
 	}
+	c.front.opts.Guard.ConnectionClosed(c.RemoteAddr().String(), c.entry.state.String(), reason)
 	s.enter(c, closed)
 	delete(s.all, c)
 	c.Conn.Close()
@@ -130,7 +135,7 @@
 // gone: the connection's goroutine ends.
 func (s *conns) gone(c *conn) {
 	s.mu.Lock()
-	s.shut(c)
+	s.shut(c, c.ended)
 	s.mu.Unlock()
 	s.tasks.Done()
 }
@@ -163,7 +168,7 @@
 		c := e.Value.(*conn)
 		e = e.Next()
 		if c.entry.state == resting {
-			s.shut(c)
+			s.shut(c, "shutdown")
 		}
 	}
 }
@@ -183,7 +188,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.all {
-		s.shut(c)
+		s.shut(c, "the router stops at once")
 	}
 }
 
--- a/internal/front/chat/crossings_test.go
+++ b/internal/front/chat/crossings_test.go
@@ -49,7 +49,7 @@
 // read, so its client may send it once more, and nothing of it is sent on.
 func TestRequestCrossesTheClose(t *testing.T) {
 	for name, closeIt := range map[string]func(*conns, *conn){
-		"in the drain": func(s *conns, c *conn) { s.shut(c) },
+		"in the drain": func(s *conns, c *conn) { s.shut(c, "shutdown") },
 		"for room":     func(s *conns, _ *conn) { s.evict() },
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -18,6 +18,7 @@
 	"mintdoor/internal/discovery/watch"
 	engines "mintdoor/internal/engine/chat"
 	front "mintdoor/internal/front/chat"
+	"mintdoor/internal/guard"
 	"mintdoor/internal/router"
 )
 
@@ -32,6 +33,7 @@
 	front    *front.Front
 	listener net.Listener
 	parts    *assembly.Parts
+	guard    *guard.Guard
 	arrivals time.Duration
 }
 
@@ -50,6 +52,8 @@
 	// arrivals is how long after SIGTERM new connections keep coming; a connection in the kernel's queue
 	// counts as taken, so the listener stays open longer.
 	arrivals = time.Second
+	// tellEvery is how often the drain logs that it goes on.
+	tellEvery = 500 * time.Millisecond
 	// After SIGTERM the platform kills a router no sooner than its longest deadline, taken as killDeadline where it is
 	// longer, plus killGrace. What comes later than killGrace after SIGTERM has to be answered by then (PROTOCOL,
 	// 'Figures'); killMargin is left for the answer's way.
@@ -100,14 +104,15 @@
 		zone = set.Zones[z]
 	}
 	set.Decide.Zone = discovery.Number(zone) // as the list's zones are numbered
+	n.guard = guard.New(log)
 	n.Router = router.New(router.Config{Name: cfg.Name, Settings: set.Decide, Kinds: set.Kinds, Engines: n.engines,
-		Holds: router.ByRequest, Seed: cfg.Seed, Log: log, MaxOpen: b.open, StreamParts: streamParts,
+		Holds: router.ByRequest, Seed: cfg.Seed, Log: log, Guard: n.guard, MaxOpen: b.open, StreamParts: streamParts,
 		NewDecider:  decider,
 		ClientStall: clientStall, Settle: settle})
 	n.front = front.New(front.Options{Classes: set.Classes, Tenants: set.Tenants, RetryAfter: set.RetryAfter,
 		MaxConns: b.clients, MaxRefused: maxRefused,
 		BodyBytes: int64(cfg.MemoryMB * (1 << 20) / 5), Within: requestWithin, Idle: clientIdle, Stall: clientStall,
-		Log: log}, n.Router)
+		Log: log, Guard: n.guard}, n.Router)
 	n.parts = assembly.New(assembly.Parts{Router: n.Router, Source: n.source, Log: log, Drain: n.finish,
 		Serve:  func(ctx context.Context) error { return n.front.Serve(ctx, n.listener) },
 		Others: []func(context.Context) error{n.engines.Run}})
@@ -159,10 +164,11 @@
 func (n *Node) finish(ctx context.Context, unlisten, _ func()) {
 	began := time.Now()
 	n.log.Info("draining", "open", n.Router.Stats().Open, "connections", n.front.Conns())
+	n.guard.ShutDown()
 	n.front.AnswerBy(began.Add(killGrace), began.Add(killedAfter(n.cfg.Settings.Decide.Classes)-killMargin))
 	look := time.NewTicker(n.arrivals / 20)
 	defer look.Stop()
-	listening, asked := true, false
+	listening, asked, told := true, false, began
 	var unlistened <-chan struct{} // nil but for the time between StopListening and its end
 	for listening || n.front.Conns() > 0 {
 		n.front.Last() // also those that came to rest meanwhile
@@ -179,6 +185,10 @@
 			listening, unlistened = false, nil
 		case <-look.C:
 		}
+		if time.Since(told) >= tellEvery { // shows that the process is alive
+			told = time.Now()
+			n.log.Info("still draining", "since", told.Sub(began), "open", n.guard.Open(), "connections", n.front.Conns())
+		}
 	}
 	unlisten()
 	n.Router.Drain()
--- a/internal/router/actions.go
+++ b/internal/router/actions.go
@@ -68,14 +68,9 @@
 			o.cancel(engine.ErrCancelled)
 		}
 	case decide.Refuse:
-		r.answer(f, Ending{Kind: Refused, RetryAfter: time.Duration(a.After),
-			Reason: "the engines cannot answer in time"})
+		r.answer(f, Ending{Kind: Refused, RetryAfter: time.Duration(a.After), Reason: "refused: " + a.Text})
 	case decide.Fail:
-		e := Ending{Kind: Failed, TimedOut: f.late, Reason: "no engine answered"}
-		if f.lastErr == nil && f.sends == 0 {
-			e.Reason = "no engine can take the request"
-		}
-		r.answer(f, e)
+		r.answer(f, Ending{Kind: Failed, TimedOut: f.late, Reason: "failed: " + a.Text})
 	case decide.Release:
 		r.keep.release(f)
 	case decide.Move:
@@ -118,8 +113,7 @@
 	r.fill(a, f)
 	r.keep.sent(a)
 	r.count.sends.Add(1)
-	r.log.Debug("attempt", "request", f.name, "attempt", a.number, "engine", s.name, "stage", a.call.Params.Stage,
-		"within", time.Duration(at-r.now))
+	f.q.job.Guarded.Attempt(a.number, s.name, a.call.Params.Stage, time.Duration(at-r.now))
 	r.work.Add(1)
 	go r.run(a)
 }
--- a/internal/router/loop.go
+++ b/internal/router/loop.go
@@ -148,6 +148,7 @@
 			m.a.granted <- false
 			return
 		}
+		f.q.job.Guarded.FirstToken(m.a.number)
 		m.a.granted <- true
 		r.timers.remove(m.a.limit) // a stream that has begun has no time-out and no deadline
 		r.timers.remove(m.a.renewal)
@@ -176,6 +177,7 @@
 func (r *Router) arrive(q *Request) {
 	f := r.table.add(q)
 	r.naming(f)
+	q.job.Guarded.Accepted(f.name)
 	r.count.arrived.Add(1)
 	if r.cfg.Observe != nil {
 		r.cfg.Observe.Arrived(&q.job)
@@ -195,6 +197,7 @@
 // takeBack books in the row that an attempt has ended.
 func (r *Router) takeBack(a *attempt, res *engine.Result) {
 	a.ended = true
+	a.flight.q.job.Guarded.AttemptEnded(a.number, outcomeName(res.Outcome), res.Err)
 	a.flight.end(a, res)
 	if a.prefill && !answered(res.Outcome) {
 		r.keep.lost(a.flight, a.addr)
@@ -220,10 +223,6 @@
 	} else if res.Outcome == decide.Served { // an answer without a token
 		r.answer(f, Ending{Kind: Served, Finish: res.Finish})
 	}
-	if res.Err != nil {
-		r.log.Debug("attempt failed", "request", f.name, "attempt", a.number, "engine", a.addr,
-			"outcome", outcomeName(res.Outcome), "spent", time.Duration(r.now-a.sentAt), "err", res.Err)
-	}
 	r.tell(&decide.Event{Kind: decide.Ended, Request: f.id, Server: a.server, Attempt: a.number,
 		Outcome: res.Outcome, Closed: f.answered, NoState: res.NoState, Kept: res.Kept,
 		Spent: r.now - a.sentAt, Report: res.Report}, f)
@@ -388,6 +387,7 @@
 	r.table.remove(f)
 	r.unclaim(f.q.job.Name)
 	r.count.open.Add(-1)
+	f.q.closeGuarded("over")
 	if r.cfg.Observe != nil {
 		r.cfg.Observe.Over(&f.q.job)
 	}
@@ -399,6 +399,7 @@
 	if !f.answer(e) {
 		return
 	}
+	f.q.job.Guarded.Decided(e.Kind.String(), e.Reason)
 	r.count.ended[e.Kind].Add(1)
 	if r.log.Enabled(context.Background(), slog.LevelInfo) {
 		j := &f.q.job
@@ -410,6 +411,7 @@
 		if f.lastErr != nil && e.Kind == Failed {
 			attrs = append(attrs, "last", f.lastErr)
 		}
+		attrs = append(attrs, "trail", f.q.job.Guarded.Trail())
 		r.log.Info("answer", attrs...)
 	}
 }
@@ -447,6 +449,7 @@
 		r.keep.over(f)
 		r.unclaim(f.q.job.Name)
 		r.count.open.Add(-1)
+		f.q.closeGuarded("the router has stopped")
 	}
 	r.table = newTable()
 	// Attempts end at once when called off; releases are bounded by the client's time for them.
--- a/internal/router/request.go
+++ b/internal/router/request.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"mintdoor/internal/engine"
+	"mintdoor/internal/guard"
 )
 
 // Job is a request's meaning, as a front has understood it.
@@ -28,6 +29,8 @@
 	MaxTokens    int
 	Repeat       bool // the client says that it repeats
 	AfterBreak   bool // the client resumes a broken stream
+	// Guarded is the request's state since its first byte, as its front has begun it; nil: the core begins it.
+	Guarded *guard.Request
 }
 
 // Kind tells how a request ended.
@@ -66,6 +69,8 @@
 	done    chan struct{} // closed when ending is set
 	ending  Ending
 	left    atomic.Bool // Abandon was called
+
+	ownsGuarded bool // the core began job.Guarded, and ends it with the request's row
 }
 
 // Job returns what was asked.
@@ -106,10 +111,22 @@
 // what is held is let go. It may be called at any time, also after the ending.
 func (q *Request) Abandon() {
 	if q.left.CompareAndSwap(false, true) {
+		select {
+		case <-q.done: // it has its ending
+		default:
+			q.job.Guarded.ClientLeft()
+		}
 		q.router.post(message{kind: clientLeft, q: q})
 	}
 }
 
+// closeGuarded ends the guarded state of a request that came without one.
+func (q *Request) closeGuarded(reason string) {
+	if q.ownsGuarded {
+		q.job.Guarded.Closed(reason)
+	}
+}
+
 // finish sets the ending. Only the loop calls it, once a request.
 func (q *Request) finish(e Ending) {
 	q.ending = e
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -19,6 +19,7 @@
 	"mintdoor/decide"
 	"mintdoor/internal/discovery"
 	"mintdoor/internal/engine"
+	"mintdoor/internal/guard"
 )
 
 // Decider is the decision module, as far as the core needs it. It is called from one goroutine only.
@@ -58,6 +59,7 @@
 	Holds    Holds
 	Seed     uint64
 	Log      *slog.Logger // nil: none
+	Guard    *guard.Guard // of all requests of the process; nil: one of the router's own
 
 	// NewDecider makes the module; nil: decide.New.
 	NewDecider func(set *decide.Settings, seed uint64, now decide.Time) Decider
@@ -141,6 +143,9 @@
 	if cfg.Log == nil {
 		cfg.Log = slog.New(slog.DiscardHandler)
 	}
+	if cfg.Guard == nil {
+		cfg.Guard = guard.New(cfg.Log)
+	}
 	if cfg.NewDecider == nil {
 		cfg.NewDecider = func(set *decide.Settings, seed uint64, now decide.Time) Decider {
 			return decide.New(set, seed, now)
@@ -198,9 +203,13 @@
 	}
 	q := &Request{job: *job, router: r, arrived: now,
 		parts: make(chan string, r.cfg.StreamParts), done: make(chan struct{})}
+	if q.ownsGuarded = job.Guarded == nil; q.ownsGuarded {
+		q.job.Guarded = r.cfg.Guard.Receive()
+	}
 	if !r.post(message{kind: arrived, q: q}) {
 		r.unclaim(job.Name)
 		r.count.open.Add(-1)
+		q.closeGuarded("not taken")
 		return nil, ErrStopping
 	}
 	return q, nil
