--- /dev/null
+++ b/internal/soak/world.go
@@ -0,0 +1,225 @@
+// Package soak runs real router processes of the platform under random, overlapping faults and judges them from outside:
+// by what their clients, their engines and discovery have seen. Engines, discovery and the network are stand-ins on
+// loopback; every router reaches every engine through a proxy of its own.
+package soak
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"sync"
+	"syscall"
+
+	"mintdoor/internal/discovery/watch"
+	standin "mintdoor/internal/standin/chat"
+)
+
+// WorldOptions are what a world is made of.
+type WorldOptions struct {
+	Program Program
+	Dir     string // for configuration files; must exist
+	Logs    string // folder for the routers' logs; "": none are kept
+	Routers int
+	Readers int
+	Writers int
+	Work    standin.Work
+	Seed    uint64
+	classes []class
+	figures figures
+}
+
+// World is routers with all that surrounds them.
+type World struct {
+	opts      WorldOptions
+	Cluster   *standin.Cluster
+	Directory *standin.Directory
+	Routers   []*Router
+
+	mu      sync.Mutex
+	engines map[string]*standin.Engine
+	members map[string]watch.Member
+	proxies map[link]*standin.Proxy
+	agents  []*standin.Agent // all that there were
+	serial  int
+}
+
+// link names a proxy.
+type link struct {
+	router int
+	engine string
+}
+
+// NewWorld builds a world. Its routers are not started.
+func NewWorld(o WorldOptions) (*World, error) {
+	if o.classes == nil {
+		o.classes = defaultClasses()
+	}
+	if o.figures == (figures{}) {
+		o.figures = defaultFigures()
+	}
+	w := &World{opts: o, Cluster: standin.NewCluster(), Directory: standin.NewDirectory(), engines: map[string]*standin.Engine{},
+		members: map[string]watch.Member{}, proxies: map[link]*standin.Proxy{}}
+	for i := range o.Routers {
+		r, err := w.newRouter(i)
+		if err != nil {
+			w.Close()
+			return nil, err
+		}
+		w.Routers = append(w.Routers, r)
+	}
+	for i := range o.Readers + o.Writers {
+		if _, err := w.AddEngine(i >= o.Readers, 0); err != nil {
+			w.Close()
+			return nil, err
+		}
+	}
+	return w, nil
+}
+
+// hosts of the routers and of the proxies, by the router's number.
+func routerHost(i int) string { return fmt.Sprintf("127.20.%d.%d", i>>8, i&0xff) }
+func proxyHost(i int) string  { return fmt.Sprintf("127.40.%d.%d", i>>8, i&0xff) }
+
+func (w *World) newRouter(i int) (*Router, error) {
+	addr, err := freeAddr(routerHost(i))
+	if err != nil {
+		return nil, err
+	}
+	r := &Router{Index: i, Addr: addr, world: w}
+	if r.Agent, err = w.NewAgent(i); err != nil {
+		return nil, err
+	}
+	const memoryMB, sockets = 192, 512
+	r.config = config{Name: fmt.Sprintf("n%d", i), Listen: addr, Discovery: r.Agent.Addr(), Known: watch.List{Complete: true, Members: []watch.Member{}},
+		Limits: limits{Cores: 1, MemoryMB: memoryMB, Sockets: sockets}, Settings: settingsFor(w.opts.Routers, i, w.opts.classes, w.opts.figures)}
+	if w.opts.Logs != "" {
+		if r.log, err = os.Create(filepath.Join(w.opts.Logs, r.config.Name+".log")); err != nil {
+			return nil, fmt.Errorf("soak: %w", err)
+		}
+	}
+	return r, nil
+}
+
+// freeAddr returns an address that nobody listens on.
+func freeAddr(host string) (string, error) {
+	l, err := net.Listen("tcp", net.JoinHostPort(host, "0"))
+	if err != nil {
+		return "", fmt.Errorf("soak: %w", err)
+	}
+	defer l.Close()
+	return l.Addr().String(), nil
+}
+
+// NewAgent starts an agent of discovery for a router.
+func (w *World) NewAgent(router int) (*standin.Agent, error) {
+	a, err := standin.NewAgent(w.Directory, proxyHost(router), func(member string) string {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		if p := w.proxies[link{router, member}]; p != nil {
+			return p.Addr()
+		}
+		return "127.0.0.1:1" // it has left
+	})
+	if err != nil {
+		return nil, err
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.agents = append(w.agents, a)
+	return a, nil
+}
+
+// AddEngine starts an engine and lists it; sinceMS is its start as the list tells it, 0 for long ago.
+func (w *World) AddEngine(writer bool, sinceMS int64) (*standin.Engine, error) {
+	w.mu.Lock()
+	w.serial++
+	kind, prefix := readerKind, "p"
+	if writer {
+		kind, prefix = writerKind, "d"
+	}
+	id := fmt.Sprintf("%s%d", prefix, w.serial)
+	w.mu.Unlock()
+	e, err := standin.NewEngine(standin.EngineOptions{ID: id, Writer: writer, Cluster: w.Cluster, Work: w.opts.Work,
+		Seed: w.opts.Seed + uint64(w.serial)})
+	if err != nil {
+		return nil, err
+	}
+	proxies := map[link]*standin.Proxy{}
+	for i := range w.opts.Routers {
+		p, err := standin.NewProxy(w.Cluster, proxyHost(i), e.Addr(), i)
+		if err != nil {
+			e.Kill()
+			return nil, err
+		}
+		proxies[link{i, id}] = p
+	}
+	m := watch.Member{ID: id, Zone: zoneName, Kind: kind, Cell: 1, Phase: watch.Up, Size: 1, SinceMS: sinceMS}
+	w.mu.Lock()
+	w.engines[id], w.members[id] = e, m
+	for at, p := range proxies {
+		w.proxies[at] = p
+	}
+	w.mu.Unlock()
+	w.Directory.Put(m)
+	return e, nil
+}
+
+// Phase lists an engine in another phase.
+func (w *World) Phase(id, phase string) {
+	w.mu.Lock()
+	m := w.members[id]
+	m.Phase = phase
+	w.members[id] = m
+	w.mu.Unlock()
+	w.Directory.Put(m)
+}
+
+// RemoveEngine ends an engine that was taken off the list.
+func (w *World) RemoveEngine(id string) {
+	w.mu.Lock()
+	e := w.engines[id]
+	delete(w.engines, id)
+	delete(w.members, id)
+	var gone []*standin.Proxy
+	for at, p := range w.proxies {
+		if at.engine == id {
+			gone = append(gone, p)
+			delete(w.proxies, at)
+		}
+	}
+	w.mu.Unlock()
+	if e != nil {
+		e.Kill()
+	}
+	for _, p := range gone {
+		p.Close()
+	}
+}
+
+// Close kills the routers and ends everything.
+func (w *World) Close() {
+	for _, r := range w.Routers {
+		r.Signal(syscall.SIGCONT)
+		r.Signal(syscall.SIGKILL)
+	}
+	for _, r := range w.Routers {
+		r.Wait()
+		if r.log != nil {
+			r.log.Close()
+		}
+	}
+	w.mu.Lock()
+	engines, agents, proxies := w.engines, w.agents, w.proxies
+	w.engines, w.agents, w.proxies = nil, nil, nil
+	w.mu.Unlock()
+	for _, e := range engines {
+		e.Kill()
+	}
+	for _, p := range proxies {
+		p.Close()
+	}
+	for _, a := range agents {
+		a.Close()
+	}
+}
--- /dev/null
+++ b/internal/standin/chat/cluster.go
@@ -0,0 +1,231 @@
+// Package chat has stand-ins for what surrounds a router on the platform: engines that speak the platform's protocol,
+// discovery's agents, and proxies between routers and engines that inject faults of the network. They record what they
+// see, for others to check.
+package chat
+
+import (
+	"sync"
+	"time"
+)
+
+// Outcome tells how an attempt ended at its engine.
+type Outcome uint8
+
+// The outcomes of attempts.
+const (
+	Running    Outcome = iota // it is out
+	Read                      // 202: the prompt is read
+	Streamed                  // the stream was written to its last chunk
+	TurnedAway                // 503 and never run
+	StateGone                 // 410: there is no state to fetch; never run
+	Errored                   // 500
+	Broken                    // the engine has reset the connection
+	Spoilt                    // the engine has written what is no answer
+	GivenUp                   // the router has closed the connection before the end
+	Died                      // the engine has died
+)
+
+func (o Outcome) String() string {
+	return [...]string{"running", "read", "streamed", "turned away", "state gone", "errored", "broken", "spoilt", "given up",
+		"engine died"}[o]
+}
+
+// NeverRan tells whether an outcome proves that the request has had no effect.
+func (o Outcome) NeverRan() bool { return o == TurnedAway || o == StateGone }
+
+// Attempt is one request that has arrived at an engine, as the engine saw it.
+type Attempt struct {
+	Request   string
+	Engine    string
+	Router    int // number of the router that sent it
+	Writer    bool
+	FirstByte time.Time
+	Arrived   time.Time     // its last byte
+	TimeLeft  time.Duration // as the router told it
+	Events    []time.Time   // when events were written
+	Outcome   Outcome
+	Ended     time.Time // zero while it is out
+	link      linkID    // that carried it
+}
+
+// Hold is something that an engine keeps for a request until it is let go.
+type Hold struct {
+	Request string
+	Engine  string
+	From    time.Time
+	Until   time.Time // zero while it is held
+}
+
+// Bounds of what a cluster records; a longer run has to be cut into several.
+const (
+	maxAttempts = 2_000_000
+	maxHolds    = 2_000_000
+)
+
+// Cluster is all engines together: what they hold for requests, and a record of what they were asked. It is safe for
+// concurrent use.
+type Cluster struct {
+	mu       sync.Mutex
+	attempts []*Attempt
+	holds    []*Hold
+	held     map[string][]*Hold   // by request, those that last
+	links    map[string]linkID    // by the address from which an engine sees the connection: the one that has it now
+	closed   map[linkID]time.Time // when the router closed a connection
+	lastLink linkID
+	probes   int
+	unknown  int // calls that no client's request explains
+	overflow bool
+}
+
+// NewCluster returns an empty cluster.
+func NewCluster() *Cluster {
+	return &Cluster{held: map[string][]*Hold{}, links: map[string]linkID{}, closed: map[linkID]time.Time{}}
+}
+
+// begin records an attempt.
+func (c *Cluster) begin(a *Attempt) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.attempts) == maxAttempts {
+		c.overflow = true
+		return
+	}
+	c.attempts = append(c.attempts, a)
+}
+
+// end records how an attempt has ended; the first word counts.
+func (c *Cluster) end(a *Attempt, o Outcome) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if a.Outcome == Running {
+		a.Outcome, a.Ended = o, time.Now()
+	}
+}
+
+// event records that an attempt's next event is written, and tells how many there were before.
+func (c *Cluster) event(a *Attempt) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	a.Events = append(a.Events, time.Now())
+	return len(a.Events) - 1
+}
+
+// hold records that an engine holds something for a request.
+func (c *Cluster) hold(request, engine string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.holds) == maxHolds {
+		c.overflow = true
+		return
+	}
+	h := &Hold{Request: request, Engine: engine, From: time.Now()}
+	c.holds = append(c.holds, h)
+	c.held[request] = append(c.held[request], h)
+}
+
+// holds tells whether anything is held for a request.
+func (c *Cluster) isHeld(request string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.held[request]) > 0
+}
+
+// letGo ends all that is held for a request.
+func (c *Cluster) letGo(request string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.endHolds(c.held[request])
+	delete(c.held, request)
+}
+
+// die ends all that an engine holds.
+func (c *Cluster) die(engine string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for request, holds := range c.held {
+		var rest []*Hold
+		for _, h := range holds {
+			if h.Engine == engine {
+				h.Until = time.Now()
+			} else {
+				rest = append(rest, h)
+			}
+		}
+		if c.held[request] = rest; len(rest) == 0 {
+			delete(c.held, request)
+		}
+	}
+}
+
+func (c *Cluster) endHolds(holds []*Hold) {
+	for _, h := range holds {
+		h.Until = time.Now()
+	}
+}
+
+// linkID numbers the connections through proxies.
+type linkID uint64
+
+// linkOpened numbers a connection that an engine sees coming from an address.
+func (c *Cluster) linkOpened(from string) linkID {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.lastLink++
+	c.links[from] = c.lastLink
+	return c.lastLink
+}
+
+// linkFrom returns the connection that comes from an address.
+func (c *Cluster) linkFrom(from string) linkID {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.links[from]
+}
+
+// linkClosed records that a router has closed a connection to a proxy.
+func (c *Cluster) linkClosed(link linkID) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.closed[link] = time.Now()
+}
+
+func (c *Cluster) countProbe() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.probes++
+}
+
+func (c *Cluster) countUnknown() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.unknown++
+}
+
+// Record is what a cluster has seen. An attempt whose connection the router closed while the network was silent ended
+// then for the router, though its engine has not heard of it: Ended is the router's close.
+type Record struct {
+	Attempts []Attempt
+	Holds    []Hold
+	Probes   int
+	Unknown  int  // calls that could not be read, or for requests that no client sent
+	Overflow bool // something was left out
+}
+
+// Record returns a copy of what was seen so far.
+func (c *Cluster) Record() *Record {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	r := &Record{Probes: c.probes, Unknown: c.unknown, Overflow: c.overflow}
+	for _, a := range c.attempts {
+		copied := *a
+		copied.Events = append([]time.Time(nil), a.Events...)
+		if at, ok := c.closed[a.link]; ok && (a.Ended.IsZero() || at.Before(a.Ended)) {
+			copied.Outcome, copied.Ended = GivenUp, at
+		}
+		r.Attempts = append(r.Attempts, copied)
+	}
+	for _, h := range c.holds {
+		r.Holds = append(r.Holds, *h)
+	}
+	return r
+}
--- /dev/null
+++ b/internal/standin/chat/proxy.go
@@ -0,0 +1,306 @@
+package chat
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// Proxy carries the connections of one router to one engine and injects the faults of a network between them.
+type Proxy struct {
+	cluster  *Cluster
+	engine   string // address
+	router   int
+	listener *net.TCPListener
+	work     sync.WaitGroup
+
+	mu      sync.Mutex
+	links   map[*link]struct{}
+	silent  bool
+	slow    time.Duration // a new connection carries nothing for so long
+	stalled []net.Conn    // fill the queue of the kernel, so that dials do not come up
+	gate    chan struct{} // closed while connections are accepted
+	struck  map[string]int
+	closed  bool
+}
+
+// link is a connection through a proxy.
+type link struct {
+	proxy          *Proxy
+	router, engine *net.TCPConn
+	id             linkID
+	lost           bool // something was dropped: the connection is of no use any more
+}
+
+// copyBuffer is the size of what is carried at a time.
+const copyBuffer = 16 << 10
+
+// NewProxy starts a proxy for a router's connections to an engine. host is where it listens.
+func NewProxy(cluster *Cluster, host, engine string, router int) (*Proxy, error) {
+	l, err := net.Listen("tcp", net.JoinHostPort(host, "0"))
+	if err != nil {
+		return nil, fmt.Errorf("proxy: %w", err)
+	}
+	p := &Proxy{cluster: cluster, engine: engine, router: router, listener: l.(*net.TCPListener), links: map[*link]struct{}{},
+		gate: make(chan struct{}), struck: map[string]int{}}
+	close(p.gate)
+	p.work.Add(1)
+	go p.accept()
+	return p, nil
+}
+
+// Addr is where the router connects.
+func (p *Proxy) Addr() string { return p.listener.Addr().String() }
+
+// Close ends the proxy and all its connections.
+func (p *Proxy) Close() {
+	p.mu.Lock()
+	p.closed = true
+	for _, c := range p.stalled {
+		c.Close()
+	}
+	p.openGate()
+	p.mu.Unlock()
+	p.listener.Close()
+	p.Reset()
+	p.work.Wait()
+}
+
+// Struck tells how often each fault has met a connection.
+func (p *Proxy) Struck() map[string]int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	out := map[string]int{}
+	for k, n := range p.struck {
+		out[k] = n
+	}
+	return out
+}
+
+// Reset resets all connections.
+func (p *Proxy) Reset() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for l := range p.links {
+		p.struck["connections reset"]++
+		l.reset()
+	}
+}
+
+// Silence drops what either side sends, and says nothing of it, until Resume.
+func (p *Proxy) Silence() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.silent = true
+}
+
+// Resume ends a silence: connections on which something was dropped are reset, all others go on.
+func (p *Proxy) Resume() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.silent = false
+	for l := range p.links {
+		if l.lost {
+			l.reset()
+		}
+	}
+}
+
+// SlowStart makes new connections carry nothing for a while, as a slow handshake would.
+func (p *Proxy) SlowStart(d time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.slow = d
+}
+
+// StallDials keeps dials from coming up until LetDials: the kernel's queue of the listener is filled.
+func (p *Proxy) StallDials() error {
+	const fillWithin = 20 * time.Millisecond // a dial on loopback that takes longer finds the queue full
+	const mostFill = 8
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed || len(p.stalled) > 0 {
+		return nil
+	}
+	if err := p.backlog(0); err != nil {
+		return err
+	}
+	p.gate = make(chan struct{})
+	for range mostFill {
+		c, err := net.DialTimeout("tcp", p.Addr(), fillWithin)
+		if err != nil {
+			break
+		}
+		p.stalled = append(p.stalled, c)
+	}
+	p.struck["dials stalled"]++
+	return nil
+}
+
+// LetDials ends StallDials.
+func (p *Proxy) LetDials() {
+	const usualBacklog = 128
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range p.stalled {
+		c.Close()
+	}
+	p.stalled = nil
+	p.backlog(usualBacklog)
+	p.openGate()
+}
+
+// openGate lets connections be accepted. mu is held.
+func (p *Proxy) openGate() {
+	select {
+	case <-p.gate:
+	default:
+		close(p.gate)
+	}
+}
+
+// backlog sets the length of the kernel's queue of connections that nobody has accepted.
+func (p *Proxy) backlog(n int) error {
+	raw, err := p.listener.SyscallConn()
+	if err != nil {
+		return err
+	}
+	var listen error
+	if err := raw.Control(func(fd uintptr) { listen = syscall.Listen(int(fd), n) }); err != nil {
+		return err
+	}
+	return listen
+}
+
+func (p *Proxy) accept() {
+	defer p.work.Done()
+	for {
+		p.mu.Lock()
+		gate := p.gate
+		p.mu.Unlock()
+		<-gate
+		c, err := p.listener.AcceptTCP()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			continue // the client has left the queue
+		}
+		p.work.Add(1)
+		go func() {
+			defer p.work.Done()
+			p.carry(c)
+		}()
+	}
+}
+
+// carry joins a router's connection to one to the engine.
+func (p *Proxy) carry(router *net.TCPConn) {
+	defer router.Close()
+	// The engine tells routers apart by the address that the connection comes from.
+	d := net.Dialer{LocalAddr: &net.TCPAddr{IP: RouterIP(p.router)}, Timeout: time.Second}
+	c, err := d.DialContext(context.Background(), "tcp", p.engine)
+	if err != nil {
+		router.SetLinger(0) // nobody listens there: as near to a refusal as can be had
+		return
+	}
+	engine := c.(*net.TCPConn)
+	defer engine.Close()
+	l := &link{proxy: p, router: router, engine: engine, id: p.cluster.linkOpened(engine.LocalAddr().String())}
+	p.mu.Lock()
+	if p.closed {
+		p.mu.Unlock()
+		return
+	}
+	p.links[l] = struct{}{}
+	slow := p.slow
+	if slow > 0 {
+		p.struck["slow starts"]++
+	}
+	p.mu.Unlock()
+	time.Sleep(slow)
+	var both sync.WaitGroup
+	both.Add(1)
+	go func() {
+		defer both.Done()
+		l.copy(engine, router, true)
+	}()
+	l.copy(router, engine, false)
+	both.Wait()
+	p.mu.Lock()
+	delete(p.links, l)
+	p.mu.Unlock()
+}
+
+// copy carries bytes one way until either side ends. What comes in a silence is dropped.
+func (l *link) copy(to, from *net.TCPConn, fromRouter bool) {
+	buf := make([]byte, copyBuffer)
+	for {
+		n, err := from.Read(buf)
+		if n > 0 && l.passes() {
+			if _, werr := to.Write(buf[:n]); werr != nil {
+				l.end(from, werr)
+				return
+			}
+		}
+		if err == nil {
+			continue
+		}
+		if fromRouter {
+			l.proxy.cluster.linkClosed(l.id)
+		}
+		if l.passes() {
+			l.end(to, err)
+		}
+		return
+	}
+}
+
+// end passes the end of one side on to the other: a reset as a reset, an end of sending as such.
+func (l *link) end(to *net.TCPConn, err error) {
+	if errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE) {
+		to.SetLinger(0)
+		to.Close()
+		return
+	}
+	to.CloseWrite()
+}
+
+// passes tells whether the network carries anything now; if not, the connection is lost.
+func (l *link) passes() bool {
+	l.proxy.mu.Lock()
+	defer l.proxy.mu.Unlock()
+	if l.proxy.silent && !l.lost {
+		l.lost = true
+		l.proxy.struck["connections silent"]++
+	}
+	return !l.lost
+}
+
+// reset resets both sides.
+func (l *link) reset() {
+	l.router.SetLinger(0)
+	l.engine.SetLinger(0)
+	l.router.Close()
+	l.engine.Close()
+}
+
+// RouterIP is the address from which a proxy connects to engines for a router.
+func RouterIP(router int) net.IP { return net.IPv4(127, 30, byte(router>>8), byte(router&0xff)) }
+
+// routerOf is RouterIP's other way round.
+func routerOf(addr net.Addr) int {
+	tcp, ok := addr.(*net.TCPAddr)
+	if !ok {
+		return -1
+	}
+	ip := tcp.IP.To4()
+	if ip == nil {
+		return -1
+	}
+	return int(ip[2])<<8 | int(ip[3])
+}
--- a/test.sh
+++ b/test.sh
@@ -14,6 +14,13 @@
 CGO_ENABLED=1 go build -ldflags=-linkmode=external -o /dev/null ./cmd/mintdoor
 sockets='/(cmd/mintdoor|internal/(day|e2e))$'
 simulated='/internal/(sim|swing)$'
-go test -race -count=1 $(go list ./... | grep -Ev "$sockets|$simulated")
-go test -race -count=1 -p 1 $(go list ./... | grep -E "$sockets")
-go test -race -count=1 $(go list ./... | grep -E "$simulated")
+# Tests that fail for a known fault stand in KNOWN-RED.txt, one line each: test, cause, issue. They are left out and printed.
+skip='^$'
+if [ -s KNOWN-RED.txt ]; then
+	echo "known failures, not run:"
+	cat KNOWN-RED.txt
+	skip="^($(cut -d: -f1 KNOWN-RED.txt | paste -sd'|'))\$"
+fi
+go test -race -count=1 -skip "$skip" $(go list ./... | grep -Ev "$sockets|$simulated")
+go test -race -count=1 -skip "$skip" -p 1 $(go list ./... | grep -E "$sockets")
+go test -race -count=1 -skip "$skip" $(go list ./... | grep -E "$simulated")
