--- a/internal/front/chat/chat.go
+++ b/internal/front/chat/chat.go
@@ -56,7 +56,6 @@
 	conns  conns
 	bodies atomic.Int64
 	last   atomic.Bool // every answer is the last on its connection
-	stop   atomic.Pointer[stopTimes]
 
 	lingerFor time.Duration // the constant; tests change it
 
@@ -66,9 +65,6 @@
 	stopListened chan struct{} // closed when no connection is accepted any more
 }
 
-// stopTimes bounds answers before the process is killed: requests that come at from or later are answered until by.
-type stopTimes struct{ from, by time.Time }
-
 // New returns a front that hands requests to core.
 func New(opts Options, core front.Core) *Front {
 	if opts.Guard == nil {
@@ -79,18 +75,19 @@
 	return f
 }
 
-// Last makes every answer from now on the last of its connection, and closes those without a request: clients
-// are to go elsewhere. New connections are still taken.
-func (f *Front) Last() {
-	f.last.Store(true)
-	f.conns.closeResting()
-}
+// ShutDown makes every answer from now on the last of its connection: clients are to go elsewhere. New connections are
+// still taken.
+func (f *Front) ShutDown() { f.last.Store(true) }
 
-// AnswerBy has requests that come at from or later answered until by: the process may be killed then.
-func (f *Front) AnswerBy(from, by time.Time) { f.stop.Store(&stopTimes{from, by}) }
+// CloseResting closes the connections that have been between two requests for a time: their clients have read the last
+// answer. What crosses the close stays unread.
+func (f *Front) CloseResting(restedFor time.Duration) { f.conns.closeResting(restedFor) }
 
 // ExpireFresh refuses connections that have brought no request yet.
-func (f *Front) ExpireFresh() { f.conns.expireFresh() }
+func (f *Front) ExpireFresh() { f.conns.expire(fresh) }
+
+// ExpireReceiving refuses requests that have begun to come and are not complete.
+func (f *Front) ExpireReceiving() { f.conns.expire(receiving) }
 
 // Conns tells how many connections are open.
 func (f *Front) Conns() int { return f.conns.count() }
--- a/internal/front/chat/chat_test.go
+++ b/internal/front/chat/chat_test.go
@@ -399,7 +399,7 @@
 
 // Before the end, answers close their connections, and connections between requests are closed; new ones are
 // still answered.
-func TestLast(t *testing.T) {
+func TestShutDown(t *testing.T) {
 	w := start(t, served, nil)
 	idle, idleBr := w.dial()
 	io.WriteString(idle, message("a"))
@@ -416,7 +416,8 @@
 		}
 		return false
 	})
-	w.front.Last()
+	w.front.ShutDown()
+	w.front.CloseResting(0)
 	if _, err := idleBr.ReadByte(); err != io.EOF {
 		t.Errorf("the idle one: %v", err)
 	}
--- a/internal/front/chat/conn.go
+++ b/internal/front/chat/conn.go
@@ -79,11 +79,9 @@
 	}
 }
 
-// rest begins the wait for a further request; false if the connection is to end now.
+// rest begins the wait for a further request; false if the connection is to end now. In a shutdown it rests too: a
+// request that comes is refused, where an end of sending would cross it, and what is read and thrown away is lost.
 func (c *conn) rest() bool {
-	if c.front.last.Load() && c.br.Buffered() == 0 {
-		return false
-	}
 	c.SetReadDeadline(time.Now().Add(c.front.opts.Idle))
 	return c.front.conns.move(c, resting)
 }
--- a/internal/front/chat/conns.go
+++ b/internal/front/chat/conns.go
@@ -160,25 +160,29 @@
 	s.tasks.Done()
 }
 
-// closeResting closes those between requests. One that has had none yet brings its first.
-func (s *conns) closeResting() {
+// closeResting closes those that have been between requests for a time. One that has had none yet brings its first.
+func (s *conns) closeResting(restedFor time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for e := s.waiting.Front(); e != nil; {
 		c := e.Value.(*conn)
 		e = e.Next()
-		if c.entry.state == resting {
+		if c.entry.state == resting && time.Since(c.entry.since) >= restedFor {
 			s.shut(c, "shutdown")
 		}
 	}
 }
 
-// expireFresh lets the wait for a first request end now.
-func (s *conns) expireFresh() {
+// expire lets what connections in a state are waiting for be late now.
+func (s *conns) expire(state connState) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for e := s.waiting.Front(); e != nil; e = e.Next() {
-		if c := e.Value.(*conn); c.entry.state == fresh {
+	list := &s.waiting
+	if state == receiving {
+		list = &s.receiving
+	}
+	for e := list.Front(); e != nil; e = e.Next() {
+		if c := e.Value.(*conn); c.entry.state == state {
 			c.SetReadDeadline(past)
 		}
 	}
--- a/internal/front/chat/crossings_test.go
+++ b/internal/front/chat/crossings_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"log/slog"
 	"net"
+	"net/http"
 	"strings"
 	"syscall"
 	"testing"
@@ -92,9 +93,10 @@
 			w.inState(resting)
 			io.WriteString(client, whole[:cut])
 			w.inState(receiving)
-			w.front.Last()
+			w.front.ShutDown()
+			w.front.CloseResting(0)
 			w.front.ExpireFresh()
-			w.front.Last()
+			w.front.CloseResting(0)
 			io.WriteString(client, whole[cut:])
 			resp, got, err := answer(t, br)
 			if resp.StatusCode != 200 || !resp.Close || got != eventA+eventEnd || err != nil {
@@ -155,7 +157,7 @@
 	w := start(t, served, nil)
 	_, silentBr := w.dial()
 	w.inState(fresh)
-	w.front.Last()
+	w.front.ShutDown()
 	w.front.ExpireFresh()
 	if resp, _, err := answer(t, silentBr); resp.StatusCode != 503 || !resp.Close || err != nil {
 		t.Errorf("%+v %v", resp, err)
@@ -165,33 +167,51 @@
 	}
 }
 
-// The platform kills a router some time after SIGTERM, and what came late and has no answer then is lost. So it is
-// answered by then whatever its own deadline is, and engines are told no longer time.
-func TestAnsweredBeforeTheKill(t *testing.T) {
-	w := start(t, hangs, nil)
-	came := time.Now()
-	by := came.Add(2 * time.Second)
-	w.front.AnswerBy(came, by)
+// An answer that began before the shutdown did not say that its connection closes. A request that its client sends right
+// behind it is answered, and not read and thrown away; when the connection has rested it is closed without a word.
+func TestRequestBehindAnAnswerFromBeforeTheShutdown(t *testing.T) {
+	gate := make(chan bool)
+	w := start(t, gated(gate), nil)
 	c, br := w.dial()
-	io.WriteString(c, message("a", "Class: chat", "Class: book", "4800", "600000")) // waits to the end
-	resp, _, _ := answer(t, br)
-	if resp.StatusCode == 200 || resp.StatusCode == 400 {
-		t.Errorf("status %d", resp.StatusCode)
+	io.WriteString(c, message("a"))
+	gate <- true // its first event
+	resp, err := http.ReadResponse(br, nil)
+	if err != nil || resp.Close {
+		t.Fatalf("%+v %v", resp, err)
 	}
-	if until := w.engines.calls[0].Until; until.After(by) {
-		t.Errorf("an engine was told %v more than there is", until.Sub(by))
+	w.front.ShutDown()
+	close(gate)
+	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		t.Fatal(err)
 	}
-	w.eventually("the time is over", func() bool { return time.Now().After(by) })
-	before := w.engines.sent()
+	w.inState(resting)
+	w.front.CloseResting(time.Hour) // it has not rested for so long
 	io.WriteString(c, message("b"))
-	if resp, _, _ := answer(t, br); resp.StatusCode != 503 || w.engines.sent() != before {
-		t.Errorf("after it: status %d, %d sent on", resp.StatusCode, w.engines.sent()-before)
-	}
-	early, earlyBr := w.dial()
-	w.front.AnswerBy(time.Now().Add(time.Hour), by) // what comes before that time keeps its own
-	io.WriteString(early, message("c", "Class: chat", "Class: book", "4800", "400"))
-	if resp, _, _ := answer(t, earlyBr); resp.StatusCode == 503 {
-		t.Errorf("one that came in time: status %d", resp.StatusCode)
+	if resp, got, err := answer(t, br); resp.StatusCode != 200 || !resp.Close || got != eventA+eventEnd || err != nil {
+		t.Errorf("%+v %q %v", resp, got, err)
+	}
+	w.eventually("it is closed", func() bool { return w.front.Conns() == 0 })
+}
+
+// A request that has not come to its end when the router gives up is refused: its last byte may come in that moment.
+func TestIncompleteRequestsAreRefusedAtTheEnd(t *testing.T) {
+	w := start(t, served, nil)
+	c, br := w.dial()
+	whole := message("a")
+	io.WriteString(c, whole[:len(whole)-1])
+	w.inState(receiving)
+	w.front.ShutDown()
+	w.front.ExpireFresh() // is none of its business
+	w.front.ExpireReceiving()
+	if resp, _, err := answer(t, br); resp.StatusCode != 503 || !resp.Close || err != nil {
+		t.Errorf("%+v %v", resp, err)
+	}
+	io.WriteString(c, whole[len(whole)-1:])
+	if b, err := io.ReadAll(br); len(b) > 0 || err != nil {
+		t.Errorf("behind the refusal: %q, %v", b, err)
+	}
+	if w.engines.sent() != 0 {
+		t.Error("a request was sent on")
 	}
 }
 
--- a/internal/front/chat/job.go
+++ b/internal/front/chat/job.go
@@ -62,11 +62,6 @@
 		return nil, front.Wrong("%s %.40q is no time that a client waits", platform.LeftHeader, left)
 	}
 	j.Deadline = now.Add(time.Duration(ms) * time.Millisecond)
-	if stop := f.stop.Load(); stop != nil && !now.Before(stop.from) && j.Deadline.After(stop.by) {
-		if j.Deadline = stop.by; !now.Before(stop.by) {
-			return nil, &front.Error{Trouble: front.Unavailable, Text: router.ErrStopping.Error()}
-		}
-	}
 	if i := slices.Index(f.opts.Tenants, settings.Name(tenant)); i >= 0 && tenant != "" {
 		j.Tenant, j.TenantName = i, tenant
 	}
--- a/internal/node/crossings_test.go
+++ b/internal/node/crossings_test.go
@@ -11,7 +11,6 @@
 	"testing"
 	"time"
 
-	"mintdoor/decide"
 	"mintdoor/internal/discovery/watch"
 )
 
@@ -155,20 +154,25 @@
 	w.eventually("the drain is seen", func() bool { return w.node.Router.Stats().Engines == 0 })
 }
 
-// The soonest kill after SIGTERM is the longest deadline, taken as 3 s where it is longer, and 0.7 s (PROTOCOL).
-func TestKilledAfter(t *testing.T) {
-	classes := func(deadlines ...time.Duration) (out []decide.Class) {
-		for _, d := range deadlines {
-			out = append(out, decide.Class{Deadline: decide.Duration(d)})
-		}
-		return out
+// The platform kills a router some time after SIGTERM. What has not begun to be answered is given up before that, whatever its
+// own deadline is, also if it came before the signal; and what comes late is refused and never reaches an engine.
+func TestAnsweredBeforeTheKill(t *testing.T) {
+	w := start(t, nil)
+	waiting := w.dial()
+	waiting.ask("a") // for 20 s
+	w.eventually("it is written", func() bool { return w.open(writer) == 1 })
+	fresh := w.dial()
+	w.eventually("both are there", func() bool { return w.node.front.Conns() == 2 })
+	signalled := time.Now().Add(-2 * time.Second)
+	w.node.signalled.Store(&signalled)
+	w.node.Drain()
+	fresh.ask("b") // it may cross the refusal of its connection
+	if code, closes := fresh.answer(t); code != 429 && code != 503 || !closes {
+		t.Errorf("one that came late: status %d, closes %v", code, closes)
 	}
-	for want, c := range map[time.Duration][]decide.Class{
-		1700 * time.Millisecond: classes(500*time.Millisecond, time.Second),
-		3700 * time.Millisecond: classes(time.Second, 12*time.Second),
-	} {
-		if got := killedAfter(c); got != want {
-			t.Errorf("killed after %v, want %v", got, want)
-		}
+	if code, closes := waiting.answer(t); code == 200 || code == 400 || !closes {
+		t.Errorf("one that waited: status %d, closes %v", code, closes)
 	}
+	w.eventually("nothing is out", func() bool { return w.open(reader)+w.open(writer) == 0 })
+	w.drained()
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -10,6 +10,7 @@
 	"os"
 	"runtime"
 	"runtime/debug"
+	"sync/atomic"
 	"time"
 
 	"mintdoor/decide"
@@ -34,7 +35,9 @@
 	listener net.Listener
 	parts    *assembly.Parts
 	guard    *guard.Guard
-	arrivals time.Duration
+
+	signalled    atomic.Pointer[time.Time] // when Drain was first called
+	planShutdown func(taken time.Time) router.Shutdown
 }
 
 // Times of the transport; every time that decides something is the module's.
@@ -49,17 +52,8 @@
 	untoldConnIdle = 3 * time.Second
 	settle         = 2 * time.Second
 	leastRelease   = 500 * time.Millisecond // for letting go of what is held, however short the settings' time
-	// arrivals is how long after SIGTERM new connections keep coming; a connection in the kernel's queue
-	// counts as taken, so the listener stays open longer.
-	arrivals = time.Second
-	// tellEvery is how often the drain logs that it goes on.
-	tellEvery = 500 * time.Millisecond
-	// After SIGTERM the platform kills a router no sooner than its longest deadline, taken as killDeadline where it is
-	// longer, plus killGrace. What comes later than killGrace after SIGTERM has to be answered by then (PROTOCOL,
-	// 'Figures'); killMargin is left for the answer's way.
-	killDeadline = 3 * time.Second
-	killGrace    = 700 * time.Millisecond
-	killMargin   = 150 * time.Millisecond
+	drainLook      = 20 * time.Millisecond  // between two looks at what the drain has to do
+	tellEvery      = 500 * time.Millisecond // between two log lines that say that it goes on
 	// maxRefused is how many connections are kept for a moment so that a refusal for want of room arrives.
 	maxRefused = 8
 )
@@ -90,7 +84,7 @@
 	}
 	set := cfg.Settings
 	b := share(cfg.Sockets)
-	n := &Node{cfg: cfg, log: log, listener: listener, arrivals: arrivals}
+	n := &Node{cfg: cfg, log: log, listener: listener}
 	n.source = watch.New(cfg.Discovery, set.Kinds, cfg.Known, log)
 	connIdle := time.Duration(set.ConnIdle)
 	if connIdle == 0 {
@@ -109,6 +103,7 @@
 		Holds: router.ByRequest, Seed: cfg.Seed, Log: log, Guard: n.guard, MaxOpen: b.open, StreamParts: streamParts,
 		NewDecider:  decider,
 		ClientStall: clientStall, Settle: settle})
+	n.planShutdown = n.Router.ShutDown
 	n.front = front.New(front.Options{Classes: set.Classes, Tenants: set.Tenants, RetryAfter: set.RetryAfter,
 		MaxConns: b.clients, MaxRefused: maxRefused,
 		BodyBytes: int64(cfg.MemoryMB * (1 << 20) / 5), Within: requestWithin, Idle: clientIdle, Stall: clientStall,
@@ -129,8 +124,12 @@
 func (n *Node) Addr() string { return n.listener.Addr().String() }
 
 // Drain lets clients go elsewhere: what comes is still answered, each on the last use of its connection, and
-// Run returns when nothing is open any more.
-func (n *Node) Drain() { n.parts.Ask() }
+// Run returns when nothing is open any more. The first call counts as the instant of the signal.
+func (n *Node) Drain() {
+	now := time.Now()
+	n.signalled.CompareAndSwap(nil, &now)
+	n.parts.Ask()
+}
 
 // Reload reads the configuration anew. Only discovery can move while a router runs; with an error all stays
 // as it is.
@@ -150,45 +149,42 @@
 	return n.parts.Run(ctx)
 }
 
-// killedAfter is the soonest time after SIGTERM at which the platform may kill the router.
-func killedAfter(classes []decide.Class) time.Duration {
-	longest := time.Duration(0)
-	for i := range classes {
-		longest = max(longest, time.Duration(classes[i].Deadline))
-	}
-	return min(longest, killDeadline) + killGrace
-}
-
-// finish answers what is open and what still comes, each on the last use of its connection. The listener is open until
-// nothing has been open for a moment, as new connections come for a while.
+// finish answers what is open and what still comes, each on the last use of its connection, as the router's plan has it. It
+// returns when no connection is left, however long streams run: to end them earlier would lose them.
 func (n *Node) finish(ctx context.Context, unlisten, _ func()) {
-	began := time.Now()
-	n.log.Info("draining", "open", n.Router.Stats().Open, "connections", n.front.Conns())
+	taken := n.signalled.Load()
+	plan := n.planShutdown(*taken)
+	n.log.Info("draining", "open", n.Router.Stats().Open, "connections", n.front.Conns(), "taken", time.Since(*taken))
 	n.guard.ShutDown()
-	n.front.AnswerBy(began.Add(killGrace), began.Add(killedAfter(n.cfg.Settings.Decide.Classes)-killMargin))
-	look := time.NewTicker(n.arrivals / 20)
+	n.front.ShutDown()
+	look := time.NewTicker(drainLook)
 	defer look.Stop()
-	listening, asked, told := true, false, began
-	var unlistened <-chan struct{} // nil but for the time between StopListening and its end
+	told := time.Now()
+	listening, asked := true, false
+	var stopped <-chan struct{} // nil but for the time between StopListening and its end
 	for listening || n.front.Conns() > 0 {
-		n.front.Last() // also those that came to rest meanwhile
-		if time.Since(began) >= n.arrivals {
+		now := time.Now()
+		n.front.CloseResting(plan.RestFor)
+		if now.After(plan.TakeUntil) {
 			n.front.ExpireFresh()
-			if !asked && n.front.Conns() == 0 {
-				unlistened, asked = n.front.StopListening(), true
-			}
+		}
+		if now.After(plan.GiveUpBy) {
+			n.front.ExpireReceiving()
+		}
+		if now.After(plan.ListenUntil) && !asked {
+			stopped, asked = n.front.StopListening(), true
+		}
+		if now.Sub(told) >= tellEvery { // shows that the process is alive
+			told = now
+			n.log.Info("still draining", "since", now.Sub(*taken), "open", n.guard.Open(), "connections", n.front.Conns())
 		}
 		select {
 		case <-ctx.Done():
 			return
-		case <-unlistened:
-			listening, unlistened = false, nil
+		case <-stopped:
+			listening, stopped = false, nil
 		case <-look.C:
 		}
-		if time.Since(told) >= tellEvery { // shows that the process is alive
-			told = time.Now()
-			n.log.Info("still draining", "since", told.Sub(began), "open", n.guard.Open(), "connections", n.front.Conns())
-		}
 	}
 	unlisten()
 	n.Router.Drain()
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -15,6 +16,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -369,9 +371,9 @@
 	}
 }
 
-// However long a stream runs, its end is waited for, and whoever comes meanwhile gets a word.
+// However long a stream runs, its end is waited for, and whoever comes meanwhile gets a word, or finds that nobody listens.
 func TestDrainWaitsForStreams(t *testing.T) {
-	w := start(t, func(n *Node) { n.arrivals = 20 * time.Microsecond })
+	w := start(t, nil)
 	c := w.dial()
 	c.ask("a")
 	w.eventually("open", func() bool { return w.open(writer) == 1 })
@@ -384,6 +386,16 @@
 			t.Fatalf("/up: %d", code)
 		}
 	}
+	w.eventually("nobody listens", func() bool {
+		other, err := net.Dial("tcp", w.node.Addr())
+		if err == nil {
+			other.Close()
+		}
+		return errors.Is(err, syscall.ECONNREFUSED)
+	})
+	if w.open(writer) != 1 {
+		t.Error("the stream has ended before its time")
+	}
 	w.gate <- true
 	if code, _ := c.answer(t); code != 200 {
 		t.Errorf("status %d", code)
--- a/internal/router/actions.go
+++ b/internal/router/actions.go
@@ -92,9 +92,8 @@
 		return
 	}
 	r.touched = append(r.touched, f)
-	deadline := r.at(f.q.job.Deadline)
 	// A client that has left may be known here before the loop has come to its message.
-	if !f.mayBegin() || f.q.left.Load() || s == nil || r.now >= deadline || f.sends >= r.cfg.Settings.MaxAttempts {
+	if !f.mayBegin() || f.q.left.Load() || s == nil || r.now >= f.deadline || f.sends >= r.cfg.Settings.MaxAttempts {
 		number := f.sends
 		f.sends++
 		r.later = append(r.later, decide.Event{Kind: decide.Ended, Request: f.id, Server: act.Server,
@@ -105,7 +104,7 @@
 		granted: make(chan bool, 1), sentAt: r.now}
 	a.ctx, a.cancel = context.WithCancelCause(r.workCtx)
 	a.number = f.begin(a)
-	at := deadline
+	at := f.deadline
 	if act.After != 0 {
 		at = min(at, r.now+act.After)
 	}
--- a/internal/router/crossings_test.go
+++ b/internal/router/crossings_test.go
@@ -8,6 +8,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"mintdoor/decide"
 	"mintdoor/internal/discovery"
@@ -124,3 +125,38 @@
 	defer s.mu.Unlock()
 	return s.b.String()
 }
+
+// A shutdown bounds what is open and what still comes: neither an attempt nor its engine is given more time than is left
+// until the router gives up, and what has not begun by then is answered, also if the module says nothing.
+func TestShutdownBoundsWhatIsOpen(t *testing.T) {
+	p1 := fleet()[2]
+	calls := make(chan *engine.Call, 10)
+	fake := &fakeEngines{prefill: func(ctx context.Context, _ string, q *engine.Call) engine.Result {
+		calls <- q
+		return wait(ctx)
+	}}
+	g := start(t, fake, withModule(func(_ decide.Time, ev *decide.Event, out []decide.Action) []decide.Action {
+		if ev.Kind == decide.Arrived {
+			out = append(out, decide.Action{Kind: decide.Send, Request: ev.Request, Server: p1.ID()})
+		}
+		return out
+	}))
+	long := job(0)
+	long.Deadline = time.Now().Add(time.Hour)
+	before := g.submit(long)
+	<-calls
+	plan := g.ShutDown(time.Now().Add(-3 * time.Second))
+	after := g.submit(long)
+	if q := <-calls; q.Until.After(plan.GiveUpBy) {
+		t.Errorf("an engine was told %v more than there is", q.Until.Sub(plan.GiveUpBy))
+	}
+	for _, q := range []*Request{before, after} {
+		if _, end := g.all(q); end.Kind != Failed || !end.TimedOut {
+			t.Errorf("%+v", end)
+		}
+	}
+	if now := time.Now(); now.Before(plan.GiveUpBy) {
+		t.Errorf("answered %v too early", plan.GiveUpBy.Sub(now))
+	}
+	g.eventually("the rows are gone", func() bool { return g.Stats().Open == 0 })
+}
--- a/internal/router/loop.go
+++ b/internal/router/loop.go
@@ -27,6 +27,7 @@
 	name   string           // placed
 	held   bool             // placed
 	spent  time.Duration    // probed
+	plan   *decide.Shutdown // shuttingDown
 }
 
 type messageKind uint8
@@ -39,6 +40,7 @@
 	listed
 	probed
 	placed
+	shuttingDown
 )
 
 // Run runs the loop until ctx ends, or until Drain was called and no request is open. Whatever is open
@@ -164,6 +166,8 @@
 			Spent: decide.Duration(m.spent), Report: m.res.Report})
 	case placed:
 		r.placed(m)
+	case shuttingDown:
+		r.shutDown(m.plan)
 	}
 }
 
@@ -182,13 +186,14 @@
 	if r.cfg.Observe != nil {
 		r.cfg.Observe.Arrived(&q.job)
 	}
-	deadline := r.at(q.job.Deadline)
-	f.guard = r.timers.add(&entry{at: deadline + r.cfg.Settings.AnswerGrace/2, flight: f})
+	f.deadline = r.at(q.job.Deadline)
+	f.guard = r.timers.add(&entry{at: f.deadline + r.cfg.Settings.AnswerGrace/2, flight: f})
+	r.boundByShutdown(f)
 	j := &q.job
 	r.log.Debug("request", "request", f.name, "client", j.ClientID, "class", j.ClassName, "tenant", j.TenantName,
 		"prompt", j.PromptTokens, "left", j.Deadline.Sub(q.arrived))
 	r.tell(&decide.Event{Kind: decide.Arrived, Request: f.id, Report: engine.Untold(), Job: decide.Job{
-		Class: j.Class, Tenant: j.Tenant, Session: key(j.Session), Text: key(j.SharedText), Deadline: deadline,
+		Class: j.Class, Tenant: j.Tenant, Session: key(j.Session), Text: key(j.SharedText), Deadline: f.deadline,
 		Hint: decide.Duration(j.Hint), Prompt: j.PromptTokens, Prefix: j.SharedTokens,
 		MaxOut: float64(j.MaxTokens), ClientRepeat: j.Repeat, AfterBreak: j.AfterBreak,
 	}}, f)
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -116,6 +116,7 @@
 	table      table
 	keep       keeper
 	timers     timers
+	shutdown   *decide.Shutdown // nil: the process was not told to end
 	servers    map[decide.ServerID]*server
 	list       []discovery.Engine
 	// listFailing: the last call of discovery has failed; only the change of this state is logged.
--- a/internal/router/table.go
+++ b/internal/router/table.go
@@ -19,6 +19,7 @@
 	name     string   // towards engines, over all attempts
 	out      *attempt // nil: waiting
 	sends    int
+	deadline decide.Time
 	guard    *entry // answers at the deadline if nobody else did
 	answered bool
 	state    *engine.State // waits at an engine for this request
--- a/internal/router/timers.go
+++ b/internal/router/timers.go
@@ -58,6 +58,14 @@
 	}
 }
 
+// sooner has an entry fall due no later than at. One that is not there any more is left as it is.
+func (t *timers) sooner(e *entry, at decide.Time) {
+	if e != nil && e.index >= 0 && at < e.at {
+		e.at = at
+		heap.Fix(&t.heap, e.index)
+	}
+}
+
 // next returns when the first entry is due.
 func (t *timers) next() (decide.Time, bool) {
 	if len(t.heap) == 0 {
