One guard owns a request's state: sending, repeating, answering and closing ask it first

Change: internal/guard has one state a request, from its first byte to its close. Fronts ask before they answer, the core before it begins an attempt, decides the answer or lets a first token through, and the engines' clients ask in the moment before the last byte leaves: is the answer given, another attempt out, the client gone (its socket is asked), the engine withdrawn, the window or the deadline over, the router shutting down. What has happened all the same is counted by kind with one log line that has the id and the request's trail. Engines are told 0.15 s less than is left, repeats leave 0.15 s before their window ends, states are let go 0.15 s sooner: a process may be held up for so long between its clock and its write.

Measured: tests of guard, decide, node, front, router, engines' clients and cmd/mintdoor pass.

--- a/decide/api.go
+++ b/decide/api.go
@@ -235,6 +235,8 @@
 	Server  ServerID
 	Attempt int
 	After   Duration
-	Token   uint64
-	Text    string
+	// NotAfter, of Send: the last byte may not leave later; 0 is no bound.
+	NotAfter Time
+	Token    uint64
+	Text     string
 }
--- a/decide/guards.go
+++ b/decide/guards.go
@@ -53,7 +53,7 @@
 		s.sent += q.tokens
 		q.expect = writeExpected
 	}
-	r.act(Action{Kind: Send, Request: q.id, Server: s.id, After: r.capFor(q)})
+	r.act(Action{Kind: Send, Request: q.id, Server: s.id, After: r.capFor(q), NotAfter: r.repeatUntil(q)})
 	return true
 }
 
@@ -63,7 +63,8 @@
 	if !q.mayRun || c.Repeat == Safe {
 		return true
 	}
-	if c.Repeat == Unsafe || r.now-q.runAt+r.set.DialTimeout >= c.Window { // the last byte comes after a dial
+	// The last byte leaves after a dial.
+	if c.Repeat == Unsafe || r.now+r.set.DialTimeout >= r.repeatUntil(q) {
 		return false
 	}
 	return c.Scope == ScopeAll || c.Scope == ScopeZone && q.runOn.zone == s.zone ||
--- /dev/null
+++ b/decide/limits.go
@@ -0,0 +1,34 @@
+package decide
+
+// Instants at which a router has to act, with slack for a process that is held up. What writes to sockets
+// keeps them: only there it is known when something has left.
+
+// HoldUp is how long a process may be held up between reading its clock and acting, and between a signal and
+// its handler.
+const HoldUp = 150 * Second / 1000
+
+const (
+	// LeaveGrace is how long after its client has left an attempt of a request may begin.
+	LeaveGrace = 100 * Second / 1000
+	// LateAnswer is how long after its deadline a final answer may come; it earns nothing then.
+	LateAnswer = 500 * Second / 1000
+	// DeadlineSlack is how much more time than its client has left a server may be told.
+	DeadlineSlack = 150 * Second / 1000
+	// leastTold is the part of what is left that a server is told at the least.
+	leastTold = 0.5
+)
+
+// TimeTold is how much time a server is told where so much is left. A request may have been stamped late,
+// and its last byte may leave late, by HoldUp each. DeadlineSlack covers one of them.
+func TimeTold(left Duration) Duration {
+	return max(left-HoldUp, Duration(leastTold*float64(left)), Second/1000)
+}
+
+// repeatUntil is the last instant at which a repeat's last byte may leave; 0 where there is none.
+func (r *Router) repeatUntil(q *request) Time {
+	c := &r.set.Classes[q.job.Class]
+	if !q.mayRun || c.Repeat != Keyed {
+		return 0
+	}
+	return q.runAt + c.Window - HoldUp
+}
--- a/decide/shutdown.go
+++ b/decide/shutdown.go
@@ -4,10 +4,6 @@
 // request that came late and has no whole answer then is lost. A stream that has begun can't be hurried: so
 // what may not end in time is not begun.
 
-// HoldUp is how long a process may be held up between reading its clock and acting, and between a signal
-// and its handler.
-const HoldUp = 150 * Second / 1000
-
 // Terms of a planned restart (PROTOCOL, 'Figures'): new connections come for up to shutdownArrivals after the
 // signal. The process is killed no sooner than its longest deadline, taken as shutdownLongest where that is
 // longer, plus shutdownGrace. What comes later than shutdownGrace has to be answered by then.
--- a/decide/tuning.go
+++ b/decide/tuning.go
@@ -38,7 +38,7 @@
 	failLimit      = 0.3
 	failAfterTrial = 0.25       // of a server that came back: one failure makes it suspect again
 	firstBench     = 1 * Second // how long a suspect server is left out before a trial, at first
-	holdSlack      = 225e6      // ns of the 300 ms that sockets add to rule 5; letting go takes time too
+	holdSlack      = 75e6       // ns of the 300 ms that sockets add to rule 5, less HoldUp and letting go
 	longestBench   = 8 * Second // ... and at most
 	coldMargin     = 0.9        // of this router's share of a cold budget is used: routers are unequal
 	coldChance     = 1.0        // sends are held back in proportion to its smallness (b*b/(b+coldChance))
--- a/internal/engine/chat/exchange.go
+++ b/internal/engine/chat/exchange.go
@@ -39,7 +39,8 @@
 	body               []byte
 	until              time.Time // zero: nothing is said of the time
 	urgent             bool
-	fresh              bool // on a connection that has carried nothing yet
+	fresh              bool        // on a connection that has carried nothing yet
+	gate               engine.Gate // nil: nobody is asked
 }
 
 // start writes a request and reads the head of its answer.
@@ -121,9 +122,10 @@
 	if q.id != "" {
 		head = append(head, platform.IDHeader+": "+q.id+"\r\n"...)
 	}
+	told := time.Duration(0)
 	if !q.until.IsZero() {
-		left := max(time.Until(q.until).Milliseconds(), 1)
-		head = append(head, platform.LeftHeader+": "+strconv.FormatInt(left, 10)+"\r\n"...)
+		told = time.Duration(decide.TimeTold(decide.Duration(time.Until(q.until))))
+		head = append(head, platform.LeftHeader+": "+strconv.FormatInt(told.Milliseconds(), 10)+"\r\n"...)
 	}
 	for _, f := range q.fields {
 		head = append(head, f.Name+": "+f.Value+"\r\n"...)
@@ -155,10 +157,18 @@
 	if x.ctx.Err() != nil {
 		return context.Cause(x.ctx)
 	}
+	if q.gate != nil {
+		if err := q.gate.MaySend(); err != nil {
+			return err
+		}
+	}
 	n, err := conn.Write(last)
 	if x.written = n == len(last); !x.written {
 		return fmt.Errorf("write: %w", err)
 	}
+	if q.gate != nil {
+		q.gate.Sent(told)
+	}
 	return nil
 }
 
@@ -221,7 +231,10 @@
 	if x.written && !x.whole && !endedByPeer(err) {
 		x.giveUp()
 	}
+	denied, isDenied := engine.Denied(err)
 	switch {
+	case isDenied:
+		r.Outcome = denied
 	case errors.Is(cause, engine.ErrCancelled), errors.Is(cause, context.Canceled):
 		r.Outcome = decide.Cancelled
 	case !x.written:
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"mintdoor/decide"
+	"mintdoor/internal/guard"
 	"mintdoor/internal/kserve"
 )
 
@@ -111,7 +112,46 @@
 	err  error
 }
 
+// Denied tells how an attempt ended whose last byte the gate did not let leave, if that is what an error says. Its engine has
+// no part in that, unless it takes nothing new.
+func Denied(err error) (decide.Outcome, bool) {
+	var denial guard.Denial
+	switch {
+	case !errors.As(err, &denial):
+		return 0, false
+	case denial == guard.Withdrawn:
+		return decide.Full, true
+	}
+	return decide.Moot, true
+}
+
+// gatedBody is a body that is sent only with the gate's leave. It can be read once, so that nothing sends it again.
+type gatedBody struct {
+	*bytes.Reader
+	gate  Gate
+	asked bool
+}
+
+// Read implements io.Reader.
+func (b *gatedBody) Read(p []byte) (int, error) {
+	if !b.asked {
+		if err := b.gate.MaySend(); err != nil {
+			return 0, err
+		}
+		b.asked = true
+	}
+	n, err := b.Reader.Read(p)
+	if b.Reader.Len() == 0 && n > 0 {
+		b.gate.Sent(0)
+	}
+	return n, err
+}
+
 func (c *Client) post(ctx context.Context, method, addr, path string, body []byte) *call {
+	return c.postGated(ctx, method, addr, path, body, nil)
+}
+
+func (c *Client) postGated(ctx context.Context, method, addr, path string, body []byte, gate Gate) *call {
 	x := &call{}
 	x.ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(httptrace.GotConnInfo) { x.got.Store(true) },
@@ -124,6 +164,9 @@
 	if len(body) > 0 {
 		req.Header.Set("Content-Type", "application/json")
 	}
+	if gate != nil {
+		req.Body, req.GetBody = io.NopCloser(&gatedBody{Reader: bytes.NewReader(body), gate: gate}), nil
+	}
 	x.resp, x.err = c.http.Do(req)
 	return x
 }
@@ -132,7 +175,10 @@
 func (x *call) failed(err error) Result {
 	r := Result{Report: Untold(), Err: err}
 	cause := context.Cause(x.ctx)
+	denied, isDenied := Denied(err)
 	switch {
+	case isDenied:
+		r.Outcome = denied
 	case !x.got.Load() && !errors.Is(cause, ErrCancelled):
 		r.Outcome = decide.ConnectFailed // nothing was sent, so nothing ran
 	case errors.Is(cause, ErrTimedOut):
@@ -204,7 +250,7 @@
 	if err != nil {
 		return Result{Outcome: decide.Moot, Report: Untold(), Err: err}
 	}
-	x := c.post(ctx, http.MethodPost, addr, "/v2/models/"+url.PathEscape(q.Model)+"/infer", body)
+	x := c.postGated(ctx, http.MethodPost, addr, "/v2/models/"+url.PathEscape(q.Model)+"/infer", body, q.Gate)
 	if x.err != nil {
 		return x.failed(x.err)
 	}
@@ -244,7 +290,7 @@
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	x := c.post(ctx, http.MethodPost, addr, "/v2/models/"+url.PathEscape(q.Model)+"/generate_stream", body)
+	x := c.postGated(ctx, http.MethodPost, addr, "/v2/models/"+url.PathEscape(q.Model)+"/generate_stream", body, q.Gate)
 	if x.err != nil {
 		return x.failed(x.err)
 	}
--- a/internal/engine/wire.go
+++ b/internal/engine/wire.go
@@ -229,6 +229,14 @@
 	Body   []byte
 }
 
+// Gate has the last word on an attempt. What writes the attempt's request asks it immediately before the last byte, and
+// tells it immediately after.
+type Gate interface {
+	MaySend() error
+	// Sent is told how much time the engine was told; 0 where it was told none.
+	Sent(told time.Duration)
+}
+
 // Call is what an attempt carries.
 type Call struct {
 	ID     string // of the attempt; the engine's answer has to echo it
@@ -239,6 +247,7 @@
 	Message *Message  // nil: the engine gets Prompt and Params
 	Until   time.Time // the router waits no longer for the first sign
 	Once    bool      // it may not be sent again if it may have run
+	Gate    Gate      // nil: nobody is asked
 }
 
 // Result is how an attempt ended.
--- a/internal/front/chat/answer.go
+++ b/internal/front/chat/answer.go
@@ -61,8 +61,8 @@
 	if text != "" {
 		body = []byte(text + "\n")
 	}
-	if c.request != nil {
-		c.request.Answered(strconv.Itoa(code) + " " + text)
+	if c.request != nil && !c.request.Answer(strconv.Itoa(code)+" "+text) {
+		return false
 	}
 	c.SetWriteDeadline(time.Now().Add(f.opts.Stall))
 	_, err := c.Write(f.answer(code, "text/plain", body, retryAfter, closes))
@@ -79,7 +79,10 @@
 	defer q.Abandon() // of no effect after the ending
 	ctx, left := context.WithCancel(ctx)
 	defer left()
-	watching := c.watch(left)
+	watching := c.watch(func() {
+		c.request.ClientLeft()
+		left()
+	})
 	defer watching.stop(c)
 	begun := false
 	var buf []byte
@@ -88,8 +91,9 @@
 		if end == nil {
 			buf = buf[:0]
 			if !begun {
-				begun = true
-				c.request.Answered("200")
+				if begun = c.request.Answer("200"); !begun {
+					return false
+				}
 				closes = closes || c.front.last.Load()
 				buf = append(buf, "HTTP/1.1 200 OK\r\nContent-Type: "+platform.EventsType+"\r\nCache-Control: no-store\r\n"...)
 				if closes {
--- a/internal/front/chat/conn.go
+++ b/internal/front/chat/conn.go
@@ -16,6 +16,8 @@
 	"mintdoor/internal/http1"
 	"mintdoor/internal/platform"
 	"mintdoor/internal/router"
+
+	"golang.org/x/sys/unix"
 )
 
 // conn is a client's connection. Its fields are its goroutine's, but for those of conns.
@@ -106,6 +108,40 @@
 	})
 }
 
+// clientGone asks the connection whether its client has ended it, also while another goroutine reads from it. It does not
+// block. An end may stand behind bytes that nobody has read yet.
+func (c *conn) clientGone() bool {
+	socket, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return false
+	}
+	gone := false
+	raw.Control(func(fd uintptr) { // with an error the connection is closed on this side
+		var b [1]byte
+		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		switch {
+		case err == nil && n > 0:
+			gone = endIsBehind(int(fd))
+		case err == nil:
+			gone = true
+		default:
+			gone = !errors.Is(err, syscall.EAGAIN) && !errors.Is(err, syscall.EINTR)
+		}
+	})
+	return gone
+}
+
+// endIsBehind tells whether the peer's end stands behind bytes that wait to be read.
+func endIsBehind(fd int) bool {
+	poll := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+	n, err := unix.Poll(poll, 0)
+	return err == nil && n > 0 && poll[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+}
+
 func latest(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
@@ -189,6 +225,7 @@
 		return c.fail(bad, true)
 	}
 	job.Guarded = c.request
+	c.request.AskWhether(c.clientGone)
 	c.request.Complete(job.Name, job.Deadline)
 	q, err := f.core.Submit(job)
 	if err != nil {
@@ -206,7 +243,12 @@
 	code, text := 400, err.Error()
 	var late net.Error
 	switch {
-	case errors.Is(err, io.EOF) || errors.Is(err, net.ErrClosed):
+	case errors.Is(err, io.EOF):
+		if c.request != nil {
+			c.request.ClientLeft()
+		}
+		return false
+	case errors.Is(err, net.ErrClosed):
 		return false
 	case errors.Is(err, errNoRoom):
 		code = 503
--- /dev/null
+++ b/internal/guard/attempt.go
@@ -0,0 +1,135 @@
+package guard
+
+import (
+	"strconv"
+	"time"
+
+	"mintdoor/decide"
+)
+
+// Attempt is one send of a request to an engine. What writes it asks MaySend immediately before the last byte, and tells
+// Sent immediately after. Its fields are guarded by the request's lock.
+type Attempt struct {
+	request *Request
+	limits  Limits
+	Number  int
+
+	cleared time.Time // MaySend gave leave
+	sent    time.Time // the last byte has left
+	ended   bool
+}
+
+// MaySend asks for leave to write the attempt's last byte. Everything that forbids it is looked at here, in the last
+// moment: dials and writes take time. The error is a Denial.
+func (a *Attempt) MaySend() error {
+	r := a.request
+	left := r.hasLeft()
+	withdrawn := false
+	if a.limits.Withdrawn != nil {
+		_, withdrawn = a.limits.Withdrawn()
+	}
+	r.mu.Lock()
+	now := time.Now()
+	var err error
+	switch {
+	case left:
+		err = r.guard.denied(ClientLeft)
+	case r.state != Attempting || r.current != a:
+		err = r.guard.denied(Answered)
+	case withdrawn:
+		err = r.guard.denied(Withdrawn)
+	case now.After(r.deadline), !a.limits.NotAfter.IsZero() && now.After(a.limits.NotAfter):
+		err = r.guard.denied(TooLate)
+	default:
+		a.cleared = now
+	}
+	r.mu.Unlock()
+	if err != nil {
+		r.record(stepDenied, strconv.Itoa(a.Number), err.Error())
+	}
+	return err
+}
+
+// Sent tells that the attempt's last byte has left, and how much time the engine was told. What is wrong now has happened:
+// it counts as a violation.
+func (a *Attempt) Sent(told time.Duration) {
+	now := time.Now()
+	r := a.request
+	withdrawnFor, withdrawn := time.Duration(0), false
+	if a.limits.Withdrawn != nil {
+		withdrawnFor, withdrawn = a.limits.Withdrawn()
+	}
+	r.mu.Lock()
+	a.sent = now
+	cleared, current, left, deadline := a.cleared, r.current, r.left, r.waits
+	notAfter, decided := a.limits.NotAfter, r.decided
+	r.mu.Unlock()
+	if cleared.IsZero() {
+		r.guard.violated(UnguardedSend, r, "")
+		return
+	}
+	if r.guard.heldUp(cleared, now) {
+		return // between its clock and the write; nobody can help that
+	}
+	late := time.Duration(decide.HoldUp)
+	switch {
+	case current != nil && current != a:
+		r.guard.violated(SecondCopy, r, "")
+	case !decided.IsZero() && decided.Before(cleared):
+		r.guard.violated(SentAfterAnswer, r, "")
+	case !left.IsZero() && now.Sub(left) > time.Duration(decide.LeaveGrace):
+		r.guard.violated(SentAfterLeave, r, now.Sub(left).String())
+	case !notAfter.IsZero() && now.Sub(notAfter) > late:
+		r.guard.violated(SentPastWindow, r, now.Sub(notAfter).String())
+	case withdrawn && withdrawnFor > a.limits.DrainGrace:
+		r.guard.violated(SentToWithdrawn, r, withdrawnFor.String())
+	case now.Add(told).Sub(deadline) > time.Duration(decide.DeadlineSlack):
+		r.guard.violated(DeadlineOverstated, r, now.Add(told).Sub(deadline).String())
+	case !r.guard.taken(r.completedAt()):
+		r.guard.violated(SentInShutdown, r, "")
+	}
+}
+
+// Grant asks for leave to pass the attempt's first event on to the client. From then on the answer belongs to it.
+func (a *Attempt) Grant() bool {
+	r := a.request
+	r.mu.Lock()
+	ok := r.state == Attempting && r.current == a
+	if ok {
+		r.state = Streaming
+	}
+	r.mu.Unlock()
+	if ok {
+		r.record(stepFirstToken, strconv.Itoa(a.Number), "")
+	}
+	return ok
+}
+
+// End notes how the attempt has ended: its engine has answered, or sees its connection closed.
+func (a *Attempt) End(outcome string, err error) {
+	r := a.request
+	r.mu.Lock()
+	if a.ended {
+		r.mu.Unlock()
+		return
+	}
+	a.ended = true
+	if r.current == a {
+		r.current = nil
+	}
+	if r.state == Attempting {
+		r.state = Waiting
+	}
+	r.mu.Unlock()
+	if err != nil {
+		outcome += ": " + err.Error()
+	}
+	r.record(stepAttemptEnded, strconv.Itoa(a.Number), outcome)
+}
+
+// Out tells whether the attempt has begun and not ended.
+func (a *Attempt) Out() bool {
+	a.request.mu.Lock()
+	defer a.request.mu.Unlock()
+	return !a.ended
+}
--- a/internal/guard/request.go
+++ b/internal/guard/request.go
@@ -4,66 +4,189 @@
 	"strconv"
 	"sync"
 	"time"
+
+	"mintdoor/decide"
 )
 
-// Request is one request of a client, from its first byte until its connection is done with it. It is safe for
+// State is where a request stands.
+type State uint8
+
+// The states of a request, in the only order in which they follow each other; Waiting and Attempting take turns.
+const (
+	Receiving  State = iota // its bytes are coming
+	Waiting                 // it is complete, and no attempt is out
+	Attempting              // an attempt is out, whose answer has not begun
+	Streaming               // the answer has begun: it belongs to the client, and nothing more is sent
+	Decided                 // the final answer is known; an attempt that was called off may be out yet
+	Closed                  // its connection is done with it
+)
+
+// Request is the state of one request of a client. Each step is asked for here by whoever takes it. It is safe for
 // concurrent use.
 type Request struct {
 	guard    *Guard
 	received time.Time
 
-	mu    sync.Mutex
-	name  string
-	trail trail
+	mu       sync.Mutex
+	name     string
+	trail    trail
+	state    State
+	complete time.Time // its last byte was read
+	waits    time.Time // until when its client waits; zero: not known
+	deadline time.Time // waits, or earlier in a shutdown
+	decided  time.Time // the final answer is known
+	answered time.Time // the final answer, or its first event, goes to the client
+	left     time.Time // its client is known to have gone
+	gone     func() bool
+	attempts int
+	current  *Attempt // the one that is out
 }
 
 // Complete notes that the request's last byte was read, and until when its client waits.
 func (r *Request) Complete(name string, deadline time.Time) {
+	now := time.Now()
 	r.mu.Lock()
-	r.name = name
+	r.name, r.complete, r.waits, r.deadline = name, now, deadline, deadline
+	r.state = max(r.state, Waiting)
 	r.mu.Unlock()
-	r.note(stepComplete, "", "waits "+time.Until(deadline).Round(time.Millisecond).String())
+	r.record(stepComplete, "", "waits "+deadline.Sub(now).Round(time.Millisecond).String())
 }
 
-// Accepted notes that the core has taken the request, and the name by which engines know it.
-func (r *Request) Accepted(name string) {
+// AskWhether gives the guard a way to ask the client's connection whether the client has gone. gone must not block.
+func (r *Request) AskWhether(gone func() bool) {
 	r.mu.Lock()
-	r.name = name
+	defer r.mu.Unlock()
+	r.gone = gone
+}
+
+// Accepted notes that the core has taken the request, the name by which engines know it and its deadline.
+func (r *Request) Accepted(name string, deadline time.Time) {
+	r.mu.Lock()
+	r.name, r.waits, r.deadline = name, deadline, deadline
+	if r.complete.IsZero() {
+		r.complete = time.Now()
+	}
+	r.state = max(r.state, Waiting)
 	r.mu.Unlock()
-	r.note(stepAccepted, "", "")
+	r.record(stepAccepted, "", "")
 }
 
-// Attempt notes that an attempt begins.
-func (r *Request) Attempt(number int, engine, stage string, within time.Duration) {
-	r.note(stepAttempt, strconv.Itoa(number)+" "+stage+" "+engine, "within "+within.Round(time.Millisecond).String())
+// Bound moves the deadline to an earlier instant.
+func (r *Request) Bound(deadline time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if deadline.Before(r.deadline) {
+		r.deadline = deadline
+	}
 }
 
-// AttemptEnded notes how an attempt has ended.
-func (r *Request) AttemptEnded(number int, outcome string, err error) {
-	if err != nil {
-		outcome += ": " + err.Error()
+// ClientLeft notes that the client has gone. Nothing is sent for it any more.
+func (r *Request) ClientLeft() {
+	r.mu.Lock()
+	if !r.left.IsZero() || r.state == Closed {
+		r.mu.Unlock()
+		return
 	}
-	r.note(stepAttemptEnded, strconv.Itoa(number), outcome)
+	r.left = time.Now()
+	r.mu.Unlock()
+	r.record(stepClientLeft, "", "")
 }
 
-// FirstToken notes that an attempt's answer has begun and belongs to the client.
-func (r *Request) FirstToken(number int) { r.note(stepFirstToken, strconv.Itoa(number), "") }
+// hasLeft tells whether the client has gone; it asks the connection itself, where that can be asked.
+func (r *Request) hasLeft() bool {
+	r.mu.Lock()
+	left, gone := !r.left.IsZero(), r.gone
+	r.mu.Unlock()
+	if left || gone == nil || !gone() {
+		return left
+	}
+	r.ClientLeft()
+	return true
+}
 
-// ClientLeft notes that the client has gone.
-func (r *Request) ClientLeft() { r.note(stepClientLeft, "", "") }
+// Decide asks for leave to give the final answer; only the first to ask gets it.
+func (r *Request) Decide(ending, reason string) bool {
+	r.mu.Lock()
+	if !r.decided.IsZero() {
+		r.mu.Unlock()
+		return false
+	}
+	r.state, r.decided = max(r.state, Decided), time.Now()
+	r.mu.Unlock()
+	r.record(stepDecided, ending, reason)
+	return true
+}
 
-// Decided notes the final answer that the core has given, with its reason.
-func (r *Request) Decided(ending, reason string) { r.note(stepDecided, ending, reason) }
+// IsDecided tells whether the final answer is known.
+func (r *Request) IsDecided() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return !r.decided.IsZero()
+}
 
-// Answered notes that the final answer was written to the client, or its first event; what is its status.
-func (r *Request) Answered(what string) { r.note(stepAnswered, what, "") }
+// Answer asks for leave to write the final answer, or its first event, to the client; what is its status. It is given
+// once.
+func (r *Request) Answer(what string) bool {
+	now := time.Now()
+	r.mu.Lock()
+	second := !r.answered.IsZero()
+	if !second {
+		r.answered = now
+	}
+	deadline := r.waits
+	late := !deadline.IsZero() && now.Sub(deadline) > time.Duration(decide.LateAnswer)
+	r.mu.Unlock()
+	r.record(stepAnswered, what, "")
+	switch {
+	case second:
+		r.guard.violated(SecondAnswer, r, what)
+	case late && r.left.IsZero() && !r.guard.heldUp(deadline, deadline):
+		r.guard.violated(LateAnswer, r, now.Sub(deadline).String())
+	}
+	return !second
+}
+
+// Over notes that a request without a connection of its own is over: whoever asked for it has its final answer.
+func (r *Request) Over(reason string) {
+	r.mu.Lock()
+	if r.answered.IsZero() && !r.decided.IsZero() {
+		r.answered = time.Now()
+	}
+	r.mu.Unlock()
+	r.Closed(reason)
+}
 
 // Closed notes that the connection is done with the request.
 func (r *Request) Closed(reason string) {
-	r.note(stepClosed, "", reason)
+	r.mu.Lock()
+	if r.state == Closed {
+		r.mu.Unlock()
+		return
+	}
+	r.state = Closed
+	lost := r.answered.IsZero() && r.left.IsZero()
+	r.mu.Unlock()
+	r.record(stepClosed, "", reason)
+	if lost {
+		r.guard.violated(ClosedUnanswered, r, reason)
+	}
 	r.guard.remove(r)
 }
 
+// State returns where the request stands.
+func (r *Request) State() State {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.state
+}
+
+// Attempts tells how many attempts have begun.
+func (r *Request) Attempts() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.attempts
+}
+
 // Trail tells what has happened to the request so far, on one line.
 func (r *Request) Trail() string {
 	_, text := r.describe()
@@ -76,7 +199,8 @@
 	return r.name, r.trail.String()
 }
 
-func (r *Request) note(s step, subject, detail string) {
+// record adds a step to the trail.
+func (r *Request) record(s step, subject, detail string) {
 	e := event{step: s, at: time.Since(r.received), subject: subject, detail: detail}
 	r.mu.Lock()
 	r.trail.add(e)
@@ -84,3 +208,58 @@
 	r.mu.Unlock()
 	r.guard.logStep(name, &e)
 }
+
+// Limits bound when an attempt's last byte may leave.
+type Limits struct {
+	Engine, Stage string        // for the trail
+	Within        time.Duration // its time-out, for the trail
+	NotAfter      time.Time     // end of the window for repeats; zero: none
+	DrainGrace    time.Duration
+	// Withdrawn tells for how long the engine has taken nothing new; false: it takes requests. nil: it always does.
+	Withdrawn func() (time.Duration, bool)
+}
+
+// Skip counts an attempt that has no use for some reason, and returns that.
+func (r *Request) Skip(l Limits, reason error) (*Attempt, error) {
+	r.mu.Lock()
+	a := &Attempt{request: r, limits: l, Number: r.attempts}
+	r.attempts++
+	r.mu.Unlock()
+	r.record(stepDenied, strconv.Itoa(a.Number), reason.Error())
+	return a, reason
+}
+
+// Begin asks for leave to begin an attempt. It counts as an attempt, allowed or not, and has its number.
+func (r *Request) Begin(l Limits) (*Attempt, error) {
+	left := r.hasLeft()
+	taken := r.guard.taken(r.completedAt())
+	r.mu.Lock()
+	a := &Attempt{request: r, limits: l, Number: r.attempts}
+	r.attempts++
+	var err error
+	switch {
+	case r.state >= Decided:
+		err = r.guard.denied(Answered)
+	case r.current != nil || r.state != Waiting:
+		err = r.guard.denied(AnotherOut)
+	case left:
+		err = r.guard.denied(ClientLeft)
+	case !taken:
+		err = r.guard.denied(ShuttingDown)
+	default:
+		r.state, r.current = Attempting, a
+	}
+	r.mu.Unlock()
+	if err != nil {
+		r.record(stepDenied, strconv.Itoa(a.Number)+" "+l.Stage+" "+l.Engine, err.Error())
+		return a, err
+	}
+	r.record(stepAttempt, strconv.Itoa(a.Number)+" "+l.Stage+" "+l.Engine, "within "+l.Within.Round(time.Millisecond).String())
+	return a, nil
+}
+
+func (r *Request) completedAt() time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.complete
+}
--- a/internal/guard/trail.go
+++ b/internal/guard/trail.go
@@ -13,6 +13,7 @@
 	stepComplete
 	stepAccepted
 	stepAttempt
+	stepDenied
 	stepAttemptEnded
 	stepFirstToken
 	stepClientLeft
@@ -23,6 +24,7 @@
 
 var stepNames = [...]string{
 	stepReceived: "received", stepComplete: "complete", stepAccepted: "accepted", stepAttempt: "attempt",
+	stepDenied:       "denied",
 	stepAttemptEnded: "attempt-ended", stepFirstToken: "first-token", stepClientLeft: "client-left",
 	stepDecided: "decided", stepAnswered: "answered", stepClosed: "closed",
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -155,7 +155,7 @@
 	taken := n.signalled.Load()
 	plan := n.planShutdown(*taken)
 	n.log.Info("draining", "open", n.Router.Stats().Open, "connections", n.front.Conns(), "taken", time.Since(*taken))
-	n.guard.ShutDown()
+	n.guard.ShutDown(plan.TakeUntil)
 	n.front.ShutDown()
 	look := time.NewTicker(drainLook)
 	defer look.Stop()
--- a/internal/router/actions.go
+++ b/internal/router/actions.go
@@ -8,6 +8,7 @@
 
 	"mintdoor/decide"
 	"mintdoor/internal/engine"
+	"mintdoor/internal/guard"
 )
 
 // attempt is one send of a request. Its fields below the line belong to the loop.
@@ -21,6 +22,7 @@
 	granted chan bool // the loop's word on the first token
 
 	number    int
+	guarded   *guard.Attempt
 	sentAt    decide.Time
 	cancel    context.CancelCauseFunc
 	limit     *entry // its time-out
@@ -74,7 +76,7 @@
 	case decide.Release:
 		r.keep.release(f)
 	case decide.Move:
-		if f.out != nil && f.out.streaming && !f.answered {
+		if f.out != nil && f.out.streaming && !f.answered() {
 			r.answer(f, Ending{Kind: Moved, Reason: "go on elsewhere"})
 			f.out.ending = true
 			f.out.cancel(engine.ErrCancelled)
@@ -92,36 +94,62 @@
 		return
 	}
 	r.touched = append(r.touched, f)
-	// A client that has left may be known here before the loop has come to its message.
-	if !f.mayBegin() || f.q.left.Load() || s == nil || r.now >= f.deadline || f.sends >= r.cfg.Settings.MaxAttempts {
-		number := f.sends
-		f.sends++
+	at := f.deadline
+	if act.After != 0 {
+		at = min(at, r.now+act.After)
+	}
+	guarded, err := r.begin(act, f, s, at)
+	if err != nil {
 		r.later = append(r.later, decide.Event{Kind: decide.Ended, Request: f.id, Server: act.Server,
-			Attempt: number, Outcome: decide.Moot, Closed: f.answered, Report: engine.Untold()})
+			Attempt: guarded.Number, Outcome: decide.Moot, Closed: f.answered(), Report: engine.Untold()})
 		return
 	}
 	a := &attempt{flight: f, server: act.Server, addr: s.addr, prefill: s.role == decide.Reader,
-		granted: make(chan bool, 1), sentAt: r.now}
+		granted: make(chan bool, 1), sentAt: r.now, number: guarded.Number, guarded: guarded}
 	a.ctx, a.cancel = context.WithCancelCause(r.workCtx)
-	a.number = f.begin(a)
-	at := f.deadline
-	if act.After != 0 {
-		at = min(at, r.now+act.After)
-	}
+	f.out = a
 	a.limit = r.timers.add(&entry{at: at, attempt: a})
 	r.fill(a, f)
 	r.keep.sent(a)
 	r.count.sends.Add(1)
-	f.q.job.Guarded.Attempt(a.number, s.name, a.call.Params.Stage, time.Duration(at-r.now))
 	r.work.Add(1)
 	go r.run(a)
 }
 
+var (
+	errNoServer    = errors.New("the engine has left the list")
+	errNoTime      = errors.New("the deadline has passed")
+	errAllAttempts = errors.New("there were as many attempts as there may be")
+)
+
+// begin asks the guard for an attempt at an engine, which is given up at some time. With an error it may not start.
+func (r *Router) begin(act *decide.Action, f *flight, s *server, at decide.Time) (*guard.Attempt, error) {
+	limits := guard.Limits{Within: time.Duration(at - r.now), DrainGrace: time.Duration(r.cfg.Settings.DrainGrace)}
+	if act.NotAfter != 0 {
+		limits.NotAfter = r.wall(act.NotAfter)
+	}
+	switch {
+	case s == nil:
+		return f.guarded().Skip(limits, errNoServer)
+	case r.now >= f.deadline:
+		return f.guarded().Skip(limits, errNoTime)
+	case f.guarded().Attempts() >= r.cfg.Settings.MaxAttempts:
+		return f.guarded().Skip(limits, errAllAttempts)
+	}
+	limits.Engine, limits.Stage = s.name, engine.StageDecode
+	if s.role == decide.Reader {
+		limits.Stage = engine.StagePrefill
+	}
+	limits.Withdrawn = func() (time.Duration, bool) { return s.withdrawnFor(r.clock()) }
+	return f.guarded().Begin(limits)
+}
+
 // fill makes what the attempt carries.
 func (r *Router) fill(a *attempt, f *flight) {
 	j := &f.q.job
 	a.call = engine.Call{ID: f.name + "." + strconv.Itoa(a.number), Model: r.cfg.Model, Message: j.Message,
 		Once:  !a.prefill && r.cfg.Settings.Classes[j.Class].Repeat == decide.Unsafe,
+		Gate:  a.guarded,
 		Until: r.wall(a.limit.at), Params: engine.Params{
 			Stage: engine.StageDecode, Request: f.name, Client: j.ClientID, Class: j.ClassName, Tenant: j.TenantName,
 			Session: j.Session, SharedText: j.SharedText, PromptTokens: j.PromptTokens,
@@ -221,7 +249,7 @@
 // reserve asks for a place ahead, while the request is read.
 func (r *Router) reserve(f *flight, id decide.ServerID) {
 	s := r.servers[id]
-	if s == nil || f.out == nil || !f.out.prefill || f.answered {
+	if s == nil || f.out == nil || !f.out.prefill || f.answered() {
 		return // as the module's interface has it: no answer then
 	}
 	if f.place != nil {
--- a/internal/router/loop.go
+++ b/internal/router/loop.go
@@ -54,18 +54,21 @@
 	defer wake.Stop()
 	drain := r.drain
 	for {
+		now := r.clock()
+		due := now + decide.Time(lockedTick)
 		if at, ok := r.timers.next(); ok {
-			wake.Reset(time.Duration(max(at-r.clock(), 0)))
-		} else {
-			wake.Reset(lockedTick)
+			due = max(at, now)
 		}
+		wake.Reset(time.Duration(due - now))
 		select {
 		case m := <-r.mail:
 			r.now = r.clock()
 			r.take(&m)
 			r.takeWaiting()
 		case <-wake.C:
-			r.now = r.clock()
+			if r.now = r.clock(); r.now-due > decide.HoldUp {
+				r.cfg.Guard.HeldUp(time.Duration(r.now - due))
+			}
 		case <-drain:
 			drain = nil
 		case <-ctx.Done():
@@ -117,7 +120,7 @@
 // overdue is the last guard of rule 1: whatever the module does, no request outlives its deadline without
 // an answer.
 func (r *Router) overdue(f *flight) {
-	if f.answered || f.out != nil && f.out.streaming {
+	if f.answered() || f.out != nil && f.out.streaming {
 		return
 	}
 	r.log.Warn("request overdue", "request", f.name, "attempt out", f.out != nil)
@@ -135,7 +138,7 @@
 	case arrived:
 		r.arrive(m.q)
 	case clientLeft:
-		if f := r.table.byQ[m.q]; f != nil && !f.answered {
+		if f := r.table.byQ[m.q]; f != nil && !f.answered() {
 			streaming := f.out != nil && f.out.streaming
 			r.answer(f, Ending{Kind: Gone, Reason: "the client has left"})
 			if streaming { // the module leaves running streams alone; nobody reads this one
@@ -150,7 +153,6 @@
 			m.a.granted <- false
 			return
 		}
-		f.q.job.Guarded.FirstToken(m.a.number)
 		m.a.granted <- true
 		r.timers.remove(m.a.limit) // a stream that has begun has no time-out and no deadline
 		r.timers.remove(m.a.renewal)
@@ -181,7 +183,7 @@
 func (r *Router) arrive(q *Request) {
 	f := r.table.add(q)
 	r.naming(f)
-	q.job.Guarded.Accepted(f.name)
+	f.guarded().Accepted(f.name, q.job.Deadline)
 	r.count.arrived.Add(1)
 	if r.cfg.Observe != nil {
 		r.cfg.Observe.Arrived(&q.job)
@@ -202,7 +204,7 @@
 // takeBack books in the row that an attempt has ended.
 func (r *Router) takeBack(a *attempt, res *engine.Result) {
 	a.ended = true
-	a.flight.q.job.Guarded.AttemptEnded(a.number, outcomeName(res.Outcome), res.Err)
+	a.guarded.End(outcomeName(res.Outcome), res.Err)
 	a.flight.end(a, res)
 	if a.prefill && !answered(res.Outcome) {
 		r.keep.lost(a.flight, a.addr)
@@ -229,7 +231,7 @@
 		r.answer(f, Ending{Kind: Served, Finish: res.Finish})
 	}
 	r.tell(&decide.Event{Kind: decide.Ended, Request: f.id, Server: a.server, Attempt: a.number,
-		Outcome: res.Outcome, Closed: f.answered, NoState: res.NoState, Kept: res.Kept,
+		Outcome: res.Outcome, Closed: f.answered(), NoState: res.NoState, Kept: res.Kept,
 		Spent: r.now - a.sentAt, Report: res.Report}, f)
 }
 
@@ -268,13 +270,22 @@
 	for i := range changes {
 		e := &changes[i]
 		if e.State == decide.Gone {
+			if old := r.servers[e.ID()]; old != nil {
+				old.withdraw(r.now)
+			}
 			delete(r.servers, e.ID())
 			r.cfg.Engines.Forget(e.Addr)
 			continue
 		}
 		s := &server{name: e.Name, addr: e.Addr, since: e.Since}
-		if old := r.servers[e.ID()]; old != nil && (old.addr != e.Addr || !old.since.Equal(e.Since)) {
-			r.cfg.Engines.Forget(old.addr) // its connections belong to a process that is no more
+		if old := r.servers[e.ID()]; old != nil {
+			anew := old.addr != e.Addr || !old.since.Equal(e.Since)
+			if anew {
+				r.cfg.Engines.Forget(old.addr) // its connections belong to a process that is no more
+			}
+			if anew || e.State != decide.Ready {
+				old.withdraw(r.now)
+			}
 		}
 		if k := r.kind(e.Kind); k >= 0 {
 			s.role = r.cfg.Settings.Kinds[k].Role
@@ -400,11 +411,10 @@
 
 // answer gives a request its final answer, if it has none yet.
 func (r *Router) answer(f *flight, e Ending) {
-	e.Attempts = f.sends
+	e.Attempts = f.guarded().Attempts()
 	if !f.answer(e) {
 		return
 	}
-	f.q.job.Guarded.Decided(e.Kind.String(), e.Reason)
 	r.count.ended[e.Kind].Add(1)
 	if r.log.Enabled(context.Background(), slog.LevelInfo) {
 		j := &f.q.job
@@ -416,7 +426,7 @@
 		if f.lastErr != nil && e.Kind == Failed {
 			attrs = append(attrs, "last", f.lastErr)
 		}
-		attrs = append(attrs, "trail", f.q.job.Guarded.Trail())
+		attrs = append(attrs, "trail", f.guarded().Trail())
 		r.log.Info("answer", attrs...)
 	}
 }
--- a/internal/router/request.go
+++ b/internal/router/request.go
@@ -123,7 +123,7 @@
 // closeGuarded ends the guarded state of a request that came without one.
 func (q *Request) closeGuarded(reason string) {
 	if q.ownsGuarded {
-		q.job.Guarded.Closed(reason)
+		q.job.Guarded.Over(reason)
 	}
 }
 
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -131,6 +131,17 @@
 	name, addr string
 	role       decide.Role
 	since      time.Time
+	// withdrawnAt is when a list took the engine from the ready ones, in the module's time; 0: it did not.
+	withdrawnAt atomic.Int64
+}
+
+// withdraw notes that the engine takes nothing new.
+func (s *server) withdraw(now decide.Time) { s.withdrawnAt.CompareAndSwap(0, int64(now)) }
+
+// withdrawnFor tells for how long the engine has taken nothing new, if that is so.
+func (s *server) withdrawnFor(now decide.Time) (time.Duration, bool) {
+	at := s.withdrawnAt.Load()
+	return time.Duration(int64(now) - at), at != 0
 }
 
 const (
--- a/internal/router/table.go
+++ b/internal/router/table.go
@@ -3,25 +3,18 @@
 import (
 	"mintdoor/decide"
 	"mintdoor/internal/engine"
+	"mintdoor/internal/guard"
 )
 
-// flight is a request's row in the table: one state machine, owned by the loop. It is in the table from
-// the request's arrival until it has its answer, none of its attempts is out and nothing is held for it.
-//
-//	waiting --begin--> out --grant--> streaming
-//	   ^                |                 |
-//	   +-----end--------+       end: the answer
-//
-// answer may come in any of these states, and counts once.
+// flight is a request's row in the table, owned by the loop. It is in the table from the request's arrival until it has its
+// answer, none of its attempts is out and nothing is held for it. Which steps are allowed is the guard's to say.
 type flight struct {
 	id       decide.RequestID
 	q        *Request
 	name     string   // towards engines, over all attempts
 	out      *attempt // nil: waiting
-	sends    int
 	deadline decide.Time
-	guard    *entry // answers at the deadline if nobody else did
-	answered bool
+	guard    *entry        // answers at the deadline if nobody else did
 	state    *engine.State // waits at an engine for this request
 	place    *place        // asked for or held ahead
 	unsure   string        // address of a reader that may hold a state nobody heard of; "" none
@@ -37,20 +30,16 @@
 	held   bool // known to be held; before that it may be
 }
 
-// mayBegin tells whether an attempt may start: never after the answer, never beside another.
-func (f *flight) mayBegin() bool { return !f.answered && f.out == nil }
+// guarded is the request's state.
+func (f *flight) guarded() *guard.Request { return f.q.job.Guarded }
 
-// begin puts an attempt out and returns its number.
-func (f *flight) begin(a *attempt) int {
-	f.out = a
-	f.sends++
-	return f.sends - 1
-}
+// answered tells whether the request has its final answer.
+func (f *flight) answered() bool { return f.guarded().IsDecided() }
 
 // grant lets an attempt's first token through, if it is still wanted. From then on the answer belongs to
 // the client and the attempt has no time-out.
 func (f *flight) grant(a *attempt) bool {
-	if f.out != a || f.answered || a.ending {
+	if a.ending || !a.guarded.Grant() {
 		return false
 	}
 	a.streaming = true
@@ -78,16 +67,15 @@
 
 // answer gives the final answer, the first time that it is called; it reports whether this was it.
 func (f *flight) answer(e Ending) bool {
-	if f.answered {
+	if !f.guarded().Decide(e.Kind.String(), e.Reason) {
 		return false
 	}
-	f.answered = true
 	f.q.finish(e)
 	return true
 }
 
 // over tells whether the row can go.
-func (f *flight) over() bool { return f.answered && f.out == nil }
+func (f *flight) over() bool { return f.out == nil && f.answered() }
 
 // table is all requests that are not over.
 type table struct {
