Discovery: the whole list is asked for again every 0.25 s while it is silent

With one call a second and pauses of 0.8 s a router could learn 1.8 s late what counts as told at the return, over the grace of a second. Calls for the whole list are made beside silent ones now, seven at most, with jitter: all routers of a fleet asked in step. The watch keeps its times.

Tests: the watch tests hold that a silent call is overtaken, that calls are bounded, and that list calls are never further apart than the grace less what a process may be held up. TestWaitsAreShort names the watch's own slack now, with the same figures.

Measured: the package five times under the race detector, node's and cmd/mintdoor's tests of start, reload and drain.

--- a/internal/discovery/watch/watch.go
+++ b/internal/discovery/watch/watch.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strconv"
@@ -23,10 +24,16 @@
 
 // Bounds of a call.
 const (
-	listWithin = time.Second            // for an answer that need not wait
-	waitFor    = time.Second            // a watch waits so long for a change; one that fell silent shows soon after
+	waitFor    = time.Second             // a watch waits so long for a change; one that fell silent shows soon after
+	watchSlack = time.Second             // beyond that it is given up
+	listWithin = 1500 * time.Millisecond // for the whole list, which need not wait
+	// hedgeEvery is how long a call for the whole list may be silent before another is made beside it. An agent may drop
+	// the calls that come while discovery is down, and what it gets at the return counts as told at once.
+	hedgeEvery = 250 * time.Millisecond
+	maxCalls   = int(listWithin/hedgeEvery) + 1
 	firstPause = 50 * time.Millisecond  // before a call that failed is made again, doubled each time ...
-	mostPause  = 800 * time.Millisecond // ... up to this
+	mostPause  = 250 * time.Millisecond // ... up to this
+	jitter     = 0.2                    // of pauses and hedges is added by chance, so that routers do not ask in step
 	maxAnswer  = 4 << 20
 	// startWithin is how long the first call may take before the cached list is used. The agent is on the router's
 	// own machine and answers at once while discovery is up.
@@ -43,7 +50,7 @@
 	http   http.Client
 
 	// The bounds named like the constants; tests shorten them.
-	wait, within, startWithin, regressedFor time.Duration
+	wait, slack, within, startWithin, hedgeEvery, regressedFor time.Duration
 
 	mu    sync.Mutex
 	addr  string
@@ -62,10 +69,11 @@
 	// A dial outlives the call that asked for it, so it has a bound of its own: dials that never come up would
 	// otherwise use up MaxConnsPerHost for minutes.
 	dialer := &net.Dialer{Timeout: listWithin}
-	return &Source{addr: addr, wait: waitFor, within: listWithin, startWithin: startWithin, regressedFor: regressedFor,
+	return &Source{addr: addr, wait: waitFor, slack: watchSlack, within: listWithin, startWithin: startWithin,
+		hedgeEvery: hedgeEvery, regressedFor: regressedFor,
 		cached: cached, log: log, members: members{kinds: kinds, log: log},
 		http: http.Client{Transport: &http.Transport{DialContext: dialer.DialContext,
-			MaxIdleConns: 1, MaxConnsPerHost: 2, DisableCompression: true,
+			MaxIdleConns: 1, MaxConnsPerHost: maxCalls + 1, DisableCompression: true,
 			MaxResponseHeaderBytes: 16 << 10, ReadBufferSize: 4096, WriteBufferSize: 1024}}}
 }
 
@@ -113,7 +121,7 @@
 		tell(discovery.Update{Err: err, At: time.Now()})
 		select {
 		case <-ctx.Done():
-		case <-time.After(pause):
+		case <-time.After(jittered(pause)):
 		}
 		pause = min(2*pause, mostPause)
 	}
@@ -140,19 +148,20 @@
 func (s *Source) call(ctx context.Context, whole bool) (*answer, error) {
 	s.mu.Lock()
 	addr := s.addr
-	within, query := s.within, ""
+	within, ask := s.within, s.hedged
+	url := "http://" + addr + ListPath
 	switch {
 	case s.listedAt == "":
 		within = s.startWithin
 	case !whole && addr == s.listedAt: // another agent counts revisions of its own
-		within += s.wait
-		query = "?since=" + strconv.FormatInt(s.revision, 10) + "&timeout_ms=" + strconv.FormatInt(s.wait.Milliseconds(), 10)
+		within, ask = s.wait+s.slack, s.get
+		url += "?since=" + strconv.FormatInt(s.revision, 10) + "&timeout_ms=" + strconv.FormatInt(s.wait.Milliseconds(), 10)
 	}
 	ctx, cancel := context.WithTimeout(ctx, within)
 	defer cancel()
 	s.moved = cancel
 	s.mu.Unlock()
-	l, err := s.get(ctx, "http://"+addr+ListPath+query)
+	l, err := ask(ctx, url)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.moved = nil; s.addr != addr {
@@ -164,6 +173,47 @@
 	return l, err
 }
 
+// hedged makes a call, and another beside it as long as none is answered; the first word counts.
+func (s *Source) hedged(ctx context.Context, url string) (*answer, error) {
+	type result struct {
+		list *answer
+		err  error
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	results := make(chan result)
+	calls := 0
+	defer func() {
+		cancel()
+		for ; calls > 0; calls-- {
+			<-results
+		}
+	}()
+	next := time.NewTimer(0)
+	defer next.Stop()
+	for {
+		select {
+		case r := <-results:
+			calls--
+			return r.list, r.err
+		case <-next.C:
+			if calls == maxCalls {
+				continue // the oldest is given up soon
+			}
+			calls++
+			go func() {
+				l, err := s.get(ctx, url)
+				results <- result{l, err}
+			}()
+			next.Reset(jittered(s.hedgeEvery))
+		}
+	}
+}
+
+// jittered makes a time longer by chance.
+func jittered(d time.Duration) time.Duration {
+	return time.Duration(float64(d) * (1 + jitter*rand.Float64()))
+}
+
 // take puts an answer into the list and reports whether the whole list has to be asked for next. With an error the
 // list stays as it was.
 func (s *Source) take(l *answer) (whole bool, err error) {
--- a/internal/discovery/watch/watch_test.go
+++ b/internal/discovery/watch/watch_test.go
@@ -278,7 +278,7 @@
 			a := newAgent(t, c.answers...)
 			s := New(a.addr(), []string{"m2"}, []byte(c.cached), quiet())
 			if c.answers == nil {
-				s.startWithin, s.within = 50*time.Millisecond, 50*time.Millisecond
+				s.startWithin, s.within, s.slack = 50*time.Millisecond, 50*time.Millisecond, 50*time.Millisecond
 			}
 			told := run(t, s)
 			for i, want := range c.want {
@@ -403,7 +403,7 @@
 	a := newAgent(t, list(41, true, member("s1", "h:1", "up", 0)), "", list(42, true, member("s1", "h:1", "draining", 0)),
 		list(43, false, member("s1", "h:1", "removed", 0)))
 	s := New(a.addr(), []string{"m2"}, nil, quiet())
-	s.wait, s.within = 20*time.Millisecond, 200*time.Millisecond
+	s.wait, s.slack, s.within = 20*time.Millisecond, 200*time.Millisecond, 200*time.Millisecond
 	told := run(t, s)
 	for _, want := range []string{"s1 h:1 up 0", "failed", "s1 h:1 draining 0", ""} {
 		if got := next(t, told); got != want {
@@ -421,14 +421,20 @@
 // clock of the standing test: whatever the router believes is at most 6 s old, though after a watch that fell silent
 // two more calls in a row are silent or refused, at the longest pause.
 func TestWaitsAreShort(t *testing.T) {
-	if most := 2 * time.Second; waitFor+listWithin > most {
-		t.Errorf("a silent watch is noticed after %v", waitFor+listWithin)
+	if most := 2 * time.Second; waitFor+watchSlack > most {
+		t.Errorf("a silent watch is noticed after %v", waitFor+watchSlack)
+	}
+	// What an agent gets when discovery returns counts as told at once; a drain in it has to be known within its grace of
+	// a second, less what a process may be held up.
+	longest := time.Duration(float64(hedgeEvery+mostPause) * (1 + jitter))
+	if most := time.Second - time.Duration(decide.HoldUp); longest > most {
+		t.Errorf("a list is asked for %v after the last time", longest)
 	}
 	if most := time.Second; startWithin > most { // a router has 6 s to be ready without discovery, some of a core at that
 		t.Errorf("the cached list is used after %v", startWithin)
 	}
-	if most := 6 * time.Second; waitFor+listWithin+2*(mostPause+listWithin) > most {
-		t.Errorf("a change may be told after %v", waitFor+listWithin+2*(mostPause+listWithin))
+	if most := 6 * time.Second; waitFor+watchSlack+2*(mostPause+listWithin) > most {
+		t.Errorf("a change may be told after %v", waitFor+watchSlack+2*(mostPause+listWithin))
 	}
 }
 
@@ -457,3 +463,37 @@
 		}
 	}
 }
+
+// Calls that come while discovery is down stay silent for good; the next one is answered, and comes soon.
+func TestCallsBesideSilentOnes(t *testing.T) {
+	a := newAgent(t, list(41, true, member("s1", "h:1", "up", 0)), "", "", "", list(42, true, member("s1", "h:1", "draining", 0)),
+		list(43, false, member("s1", "h:1", "removed", 0)))
+	s := New(a.addr(), []string{"m2"}, nil, quiet())
+	s.wait, s.slack, s.within, s.hedgeEvery = 20*time.Millisecond, 20*time.Millisecond, time.Hour, 20*time.Millisecond
+	told := run(t, s)
+	for _, want := range []string{"s1 h:1 up 0", "failed", "s1 h:1 draining 0", ""} {
+		if got := next(t, told); got != want {
+			t.Errorf("told %q, want %q", got, want)
+		}
+	}
+	for i, want := range []string{ListPath, ListPath + "?since=41&timeout_ms=20", ListPath, ListPath, ListPath,
+		ListPath + "?since=42&timeout_ms=20"} {
+		if got := a.requests()[i]; got != want {
+			t.Errorf("call %d: %s, want %s", i, got, want)
+		}
+	}
+}
+
+// However long discovery is silent, no more than a bounded number of calls is out.
+func TestSilentCallsAreBounded(t *testing.T) {
+	a := newAgent(t)
+	s := New(a.addr(), []string{"m2"}, nil, quiet())
+	s.startWithin, s.hedgeEvery = 300*time.Millisecond, time.Millisecond
+	told := run(t, s)
+	if got := next(t, told); got != "failed" {
+		t.Errorf("told %q", got)
+	}
+	if n := len(a.requests()); n > maxCalls {
+		t.Errorf("%d calls, at most %d may be out", n, maxCalls)
+	}
+}
