Soak: real routers under random, overlapping faults, judged from outside

It says how often each fault struck and what it met. A hold-up of a router's process is noted whatever wakes its loop.

Partial: no test runs it yet.

--- a/cmd/mintdoor/main.go
+++ b/cmd/mintdoor/main.go
@@ -34,7 +34,7 @@
 	}
 	root.CompletionOptions.DisableDefaultCmd = true
 	root.AddCommand(serveCommand(), checkCommand(), configCommand(), engineCommand(), demoCommand(), askCommand(),
-		nodeCommand(), dayCommand(), auditCommand(), rolesCommand(), traceCommand(), swingCommand(),
+		nodeCommand(), soakCommand(), dayCommand(), auditCommand(), rolesCommand(), traceCommand(), swingCommand(),
 		versionCommand())
 	return root
 }
--- a/internal/router/loop.go
+++ b/internal/router/loop.go
@@ -62,13 +62,11 @@
 		wake.Reset(time.Duration(due - now))
 		select {
 		case m := <-r.mail:
-			r.now = r.clock()
+			r.wakeUp(due)
 			r.take(&m)
 			r.takeWaiting()
 		case <-wake.C:
-			if r.now = r.clock(); r.now-due > decide.HoldUp {
-				r.cfg.Guard.HeldUp(time.Duration(r.now - due))
-			}
+			r.wakeUp(due)
 		case <-drain:
 			drain = nil
 		case <-ctx.Done():
@@ -83,6 +81,13 @@
 	}
 }
 
+// wakeUp looks at the clock. If something was due long ago the process did not run meanwhile.
+func (r *Router) wakeUp(due decide.Time) {
+	if r.now = r.clock(); r.now-due > decide.HoldUp {
+		r.cfg.Guard.HeldUp(time.Duration(r.now - due))
+	}
+}
+
 func (r *Router) takeWaiting() {
 	for range batch {
 		select {
--- /dev/null
+++ b/internal/soak/badclient.go
@@ -0,0 +1,58 @@
+package soak
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"time"
+
+	"mintdoor/internal/platform"
+)
+
+// badWithin is how long a bad client may be left without an error or a close.
+const badWithin = 3 * time.Second
+
+// nonsense is what bad clients send, by its kind.
+var nonsense = map[string]string{
+	"noise":              "\x00\x01\x02 not http\r\n\r\n",
+	"half a head":        "POST " + platform.ChatPath + " HTTP/1.1\r\nHost: a\r\nX-Corre",
+	"half a body":        "POST " + platform.ChatPath + " HTTP/1.1\r\nHost: a\r\nContent-Length: 500\r\n\r\n{\"model\":",
+	"negative length":    "POST " + platform.ChatPath + " HTTP/1.1\r\nHost: a\r\nContent-Length: -5\r\n\r\n",
+	"huge length":        "POST " + platform.ChatPath + " HTTP/1.1\r\nHost: a\r\nContent-Length: 99999999999\r\n\r\n",
+	"two lengths":        "POST " + platform.ChatPath + " HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+	"unknown class":      "POST " + platform.ChatPath + " HTTP/1.1\r\nHost: a\r\nX-Correlation-Id: bad1\r\nX-Service-Class: nobody\r\nX-Time-Left-Ms: 500\r\nContent-Length: 2\r\n\r\n{}",
+	"no time":            "POST " + platform.ChatPath + " HTTP/1.1\r\nHost: a\r\nX-Correlation-Id: bad2\r\nX-Service-Class: price-ask\r\nX-Time-Left-Ms: soon\r\nContent-Length: 2\r\n\r\n{}",
+	"no id":              "POST " + platform.ChatPath + " HTTP/1.1\r\nHost: a\r\nX-Service-Class: price-ask\r\nX-Time-Left-Ms: 500\r\nContent-Length: 2\r\n\r\n{}",
+	"nothing":            "",
+	"a body that is bad": "POST " + platform.ChatPath + " HTTP/1.1\r\nHost: a\r\nX-Correlation-Id: bad3\r\nX-Service-Class: price-ask\r\nX-Time-Left-Ms: 500\r\nContent-Length: 3\r\n\r\n{]}",
+}
+
+var nonsenseKinds = []string{"noise", "half a head", "half a body", "negative length", "huge length", "two lengths", "unknown class",
+	"no time", "no id", "nothing", "a body that is bad"}
+
+// misbehave is one bad client at a router.
+func (t *traffic) misbehave(r *Router, random *rand.Rand) {
+	kind := nonsenseKinds[random.IntN(len(nonsenseKinds))]
+	c, err := dial(r)
+	if err != nil {
+		return
+	}
+	defer c.Close()
+	b := badClient{kind: kind, router: r.Index, began: time.Now()}
+	io.WriteString(c, nonsense[kind])
+	c.SetReadDeadline(b.began.Add(badWithin + answerSlack))
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	var late net.Error
+	switch {
+	case err == nil:
+		b.served = resp.StatusCode < 400
+		resp.Body.Close()
+	case errors.As(err, &late) && late.Timeout():
+		b.noWord = true
+	}
+	b.waited = time.Since(b.began)
+	t.log.addBad(b)
+}
--- a/internal/soak/router.go
+++ b/internal/soak/router.go
@@ -30,16 +30,15 @@
 
 // Life is one run of a router's process, with times as seen from outside; zero times have not come.
 type Life struct {
-	Started, Ready          time.Time
-	Terminated              time.Time // SIGTERM was sent
-	Killed                  time.Time // SIGKILL was sent
-	Exited                  time.Time
-	Code                    int
-	Signaled                bool // it was ended by a signal
-	Stops                   []Stop
-	Violations              []string // lines of its own checks
-	Panics                  []string
-	OpenAtTerm, AnswersTerm int
+	Started, Ready time.Time
+	Terminated     time.Time // SIGTERM was sent
+	Killed         time.Time // SIGKILL was sent
+	Exited         time.Time
+	Code           int
+	Signaled       bool // it was ended by a signal
+	Stops          []Stop
+	Violations     []string // lines of its own checks
+	Panics         []string
 }
 
 // Stop is a time in which the process did not run.
@@ -47,18 +46,18 @@
 
 // Router is one router's place: its name and address last over restarts of its process.
 type Router struct {
-	Index  int
-	Addr   string
-	Agent  *standin.Agent
-	world  *World
-	config config
+	Index int
+	Addr  string
+	world *World
 
-	mu   sync.Mutex
-	cmd  *exec.Cmd
-	life *Life
-	past []*Life
-	done chan struct{} // closed when the process has ended
-	log  *os.File
+	mu     sync.Mutex
+	config config
+	agent  *standin.Agent
+	cmd    *exec.Cmd
+	life   *Life
+	past   []*Life
+	done   chan struct{} // closed when the process has ended
+	log    *os.File
 }
 
 // Start starts the process. It may be called again when the process has ended.
@@ -185,11 +184,18 @@
 	return r.done
 }
 
+// CurrentAgent is the agent of which the router was told last.
+func (r *Router) CurrentAgent() *standin.Agent {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.agent
+}
+
 // Move tells the router of another agent with SIGHUP.
 func (r *Router) Move(a *standin.Agent) error {
 	r.mu.Lock()
 	r.config.Discovery = a.Addr()
-	r.Agent = a
+	r.agent = a
 	err := r.writeConfig()
 	r.mu.Unlock()
 	if err == nil {
--- /dev/null
+++ b/internal/soak/soak.go
@@ -0,0 +1,199 @@
+package soak
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"sync"
+	"syscall"
+	"time"
+
+	standin "mintdoor/internal/standin/chat"
+)
+
+// Options are how a soak is run.
+type Options struct {
+	Program Program
+	Dir     string // for configuration files; must exist
+	Logs    string // folder for the routers' logs; "": none are kept
+	Seed    uint64
+	Routers int
+	Readers int
+	Writers int
+	Length  time.Duration // in which faults strike
+	Rate    float64       // requests a second of one router, in the mean
+	Every   time.Duration // between two faults, in the mean
+	// Slack is added to every time that the invariants allow, for a machine that is too slow for the run.
+	Slack time.Duration
+	Log   *slog.Logger
+	Out   io.Writer // progress for people; nil: none
+}
+
+// Times of a run.
+const (
+	startWithin = 60 * time.Second
+	// lagLook and lagTold: the soak looks at its own clock so often, and notes when it ran so much later.
+	lagLook = 10 * time.Millisecond
+	lagTold = 20 * time.Millisecond
+	tellAll = 5 * time.Second // between two words on the progress
+)
+
+// usualWork is what engines take: a stream takes about a second.
+var usualWork = standin.Work{Read: 40 * time.Millisecond, FirstToken: 30 * time.Millisecond, Event: 60 * time.Millisecond, Events: 14}
+
+// Run runs a soak and judges it. The error tells that it could not be run; what the routers did wrong is in the report.
+func Run(ctx context.Context, o Options) (*Report, error) {
+	if o.Log == nil {
+		o.Log = slog.New(slog.DiscardHandler)
+	}
+	if o.Out == nil {
+		o.Out = io.Discard
+	}
+	w, err := NewWorld(WorldOptions{Program: o.Program, Dir: o.Dir, Logs: o.Logs, Routers: o.Routers, Readers: o.Readers, Writers: o.Writers,
+		Work: usualWork, Seed: o.Seed})
+	if err != nil {
+		return nil, err
+	}
+	defer w.Close()
+	lags := watchOwnClock()
+	f := newFront(w.Routers)
+	if err := startAll(w, f); err != nil {
+		return nil, err
+	}
+	log := &askLog{}
+	t := newTraffic(w, f, log, o.Rate*float64(o.Routers), o.Seed)
+	in := newInjector(w, t, f)
+	began := time.Now()
+	trafficCtx, endTraffic := context.WithCancel(ctx)
+	defer endTraffic()
+	var work sync.WaitGroup
+	work.Go(func() { t.run(trafficCtx) })
+	struckCtx, endFaults := context.WithTimeout(ctx, o.Length)
+	defer endFaults()
+	work.Go(func() { tellProgress(struckCtx, o.Out, began, log) })
+	in.run(struckCtx, o.Every, o.Seed)
+	endTraffic()
+	work.Wait()
+	if err := ctx.Err(); err != nil {
+		return nil, err
+	}
+	endAll(w, in)
+	e := &evidence{began: began, routers: o.Routers, classes: w.opts.classes, figures: w.opts.figures, asks: log.list, bad: log.bad,
+		record: w.Cluster.Record(), starts: w.starts, failed: in.failed, lags: lags(), slack: o.Slack}
+	for _, r := range w.Routers {
+		e.lives = append(e.lives, r.Lives())
+		e.told = append(e.told, toldOfDrains(w.agentsOf(r.Index)))
+	}
+	if e.record.Overflow {
+		return nil, errors.New("the run was too long: its record is not whole")
+	}
+	e.index()
+	report := newReport(&o, e, in.allStruck())
+	report.Findings = judge(e)
+	return report, nil
+}
+
+// startAll starts all routers and waits until they are ready.
+func startAll(w *World, f *front) error {
+	for _, r := range w.Routers {
+		if err := r.Start(); err != nil {
+			return err
+		}
+	}
+	for _, r := range w.Routers {
+		if err := r.AwaitReady(startWithin); err != nil {
+			return err
+		}
+		f.notice(r.Index, true)
+	}
+	return nil
+}
+
+// endAll tells all routers to end; each has to do so by itself, as no client is left.
+func endAll(w *World, in *injector) {
+	for _, r := range w.Routers {
+		r.Signal(syscall.SIGTERM)
+	}
+	for _, r := range w.Routers {
+		select {
+		case <-r.Ended():
+		case <-time.After(2 * in.kills):
+			in.mu.Lock()
+			in.failed = append(in.failed, fmt.Sprintf("router %d did not end though no client was left", r.Index))
+			in.mu.Unlock()
+		}
+	}
+}
+
+// watchOwnClock notes the times in which this process did not run. The function that it returns ends that and returns them.
+func watchOwnClock() func() []Stop {
+	done, ended := make(chan struct{}), make(chan struct{})
+	var lags []Stop
+	go func() {
+		defer close(ended)
+		tick := time.NewTicker(lagLook)
+		defer tick.Stop()
+		for last := time.Now(); ; {
+			select {
+			case <-done:
+				return
+			case <-tick.C:
+			}
+			now := time.Now()
+			if now.Sub(last) > lagLook+lagTold {
+				lags = append(lags, Stop{From: last, Until: now})
+			}
+			last = now
+		}
+	}()
+	return func() []Stop {
+		close(done)
+		<-ended
+		return lags
+	}
+}
+
+func tellProgress(ctx context.Context, out io.Writer, began time.Time, log *askLog) {
+	tick := time.NewTicker(tellAll)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+			log.mu.Lock()
+			n := len(log.list)
+			log.mu.Unlock()
+			fmt.Fprintf(out, "%v: %d requests\n", time.Since(began).Round(time.Second), n)
+		}
+	}
+}
+
+// allStruck adds up how often each fault was injected, and what the stand-ins have counted.
+func (in *injector) allStruck() map[string]int {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	out := map[string]int{}
+	add := func(counts map[string]int) {
+		for k, n := range counts {
+			out[k] += n
+		}
+	}
+	add(in.struck)
+	in.world.mu.Lock()
+	defer in.world.mu.Unlock()
+	for _, e := range in.world.all {
+		add(e.Struck())
+	}
+	for _, p := range in.world.allProxies {
+		add(p.Struck())
+	}
+	for _, of := range in.world.agents {
+		for _, a := range of {
+			add(a.Struck())
+		}
+	}
+	return out
+}
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -5,11 +5,14 @@
 
 import (
 	"fmt"
+	"maps"
 	"net"
 	"os"
 	"path/filepath"
+	"slices"
 	"sync"
 	"syscall"
+	"time"
 
 	"mintdoor/internal/discovery/watch"
 	standin "mintdoor/internal/standin/chat"
@@ -23,7 +26,7 @@
 	Routers int
 	Readers int
 	Writers int
-	Work    standin.Work
+	Work    standin.Work // of every engine
 	Seed    uint64
 	classes []class
 	figures figures
@@ -36,12 +39,16 @@
 	Directory *standin.Directory
 	Routers   []*Router
 
-	mu      sync.Mutex
-	engines map[string]*standin.Engine
-	members map[string]watch.Member
-	proxies map[link]*standin.Proxy
-	agents  []*standin.Agent // all that there were
-	serial  int
+	mu         sync.Mutex
+	engines    map[string]*standin.Engine
+	members    map[string]watch.Member
+	claimed    map[string]bool      // engines that are on their way out
+	all        []*standin.Engine    // that ever ran
+	allProxies []*standin.Proxy     // that ever were
+	starts     map[string]time.Time // of engines that started cold
+	proxies    map[link]*standin.Proxy
+	agents     map[int][]*standin.Agent // all that there were, by router
+	serial     int
 }
 
 // link names a proxy.
@@ -59,7 +66,7 @@
 		o.figures = defaultFigures()
 	}
 	w := &World{opts: o, Cluster: standin.NewCluster(), Directory: standin.NewDirectory(), engines: map[string]*standin.Engine{},
-		members: map[string]watch.Member{}, proxies: map[link]*standin.Proxy{}}
+		members: map[string]watch.Member{}, claimed: map[string]bool{}, starts: map[string]time.Time{}, agents: map[int][]*standin.Agent{}, proxies: map[link]*standin.Proxy{}}
 	for i := range o.Routers {
 		r, err := w.newRouter(i)
 		if err != nil {
@@ -87,11 +94,11 @@
 		return nil, err
 	}
 	r := &Router{Index: i, Addr: addr, world: w}
-	if r.Agent, err = w.NewAgent(i); err != nil {
+	if r.agent, err = w.NewAgent(i); err != nil {
 		return nil, err
 	}
 	const memoryMB, sockets = 192, 512
-	r.config = config{Name: fmt.Sprintf("n%d", i), Listen: addr, Discovery: r.Agent.Addr(), Known: watch.List{Complete: true, Members: []watch.Member{}},
+	r.config = config{Name: fmt.Sprintf("n%d", i), Listen: addr, Discovery: r.agent.Addr(), Known: watch.List{Complete: true, Members: []watch.Member{}},
 		Limits: limits{Cores: 1, MemoryMB: memoryMB, Sockets: sockets}, Settings: settingsFor(w.opts.Routers, i, w.opts.classes, w.opts.figures)}
 	if w.opts.Logs != "" {
 		if r.log, err = os.Create(filepath.Join(w.opts.Logs, r.config.Name+".log")); err != nil {
@@ -126,10 +133,17 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.agents = append(w.agents, a)
+	w.agents[router] = append(w.agents[router], a)
 	return a, nil
 }
 
+// agentsOf returns all agents that a router was told of.
+func (w *World) agentsOf(router int) []*standin.Agent {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return append([]*standin.Agent(nil), w.agents[router]...)
+}
+
 // AddEngine starts an engine and lists it; sinceMS is its start as the list tells it, 0 for long ago.
 func (w *World) AddEngine(writer bool, sinceMS int64) (*standin.Engine, error) {
 	w.mu.Lock()
@@ -157,16 +171,67 @@
 	m := watch.Member{ID: id, Zone: zoneName, Kind: kind, Cell: 1, Phase: watch.Up, Size: 1, SinceMS: sinceMS}
 	w.mu.Lock()
 	w.engines[id], w.members[id] = e, m
+	w.all = append(w.all, e)
+	if sinceMS > 0 {
+		w.starts[id] = time.UnixMilli(sinceMS)
+	}
 	for at, p := range proxies {
 		w.proxies[at] = p
+		w.allProxies = append(w.allProxies, p)
 	}
 	w.mu.Unlock()
 	w.Directory.Put(m)
 	return e, nil
 }
 
-// Phase lists an engine in another phase.
-func (w *World) Phase(id, phase string) {
+// Engines returns the engines that run, by their ids.
+func (w *World) Engines() []*standin.Engine {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var out []*standin.Engine
+	for _, id := range slices.Sorted(maps.Keys(w.engines)) {
+		out = append(out, w.engines[id])
+	}
+	return out
+}
+
+// Proxy returns the proxy between a router and an engine; nil if the engine is gone.
+func (w *World) Proxy(router int, engine string) *standin.Proxy {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.proxies[link{router, engine}]
+}
+
+// Ready tells how many engines of a role are listed as up and not on their way out.
+func (w *World) Ready(writers bool) (n int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for id, e := range w.engines {
+		if e.Writer() == writers && w.members[id].Phase == watch.Up && !w.claimed[id] {
+			n++
+		}
+	}
+	return n
+}
+
+// Claim notes that an engine is on its way out; false if it was already.
+func (w *World) Claim(id string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.claimed[id] || w.engines[id] == nil {
+		return false
+	}
+	w.claimed[id] = true
+	return true
+}
+
+// BeginDrain lists an engine as draining.
+func (w *World) BeginDrain(id string) { w.setPhase(id, watch.Draining) }
+
+// TakeOff takes an engine off the list.
+func (w *World) TakeOff(id string) { w.setPhase(id, watch.Removed) }
+
+func (w *World) setPhase(id, phase string) {
 	w.mu.Lock()
 	m := w.members[id]
 	m.Phase = phase
@@ -219,7 +284,9 @@
 	for _, p := range proxies {
 		p.Close()
 	}
-	for _, a := range agents {
-		a.Close()
+	for _, of := range agents {
+		for _, a := range of {
+			a.Close()
+		}
 	}
 }
--- a/internal/standin/chat/cluster.go
+++ b/internal/standin/chat/cluster.go
@@ -39,13 +39,15 @@
 	Engine    string
 	Router    int // number of the router that sent it
 	Writer    bool
-	FirstByte time.Time
-	Arrived   time.Time     // its last byte
+	FirstByte time.Time     // its first byte left the router
+	LastByte  time.Time     // its last byte left the router
+	Arrived   time.Time     // its last byte has come to the engine
 	TimeLeft  time.Duration // as the router told it
 	Events    []time.Time   // when events were written
 	Outcome   Outcome
 	Ended     time.Time // zero while it is out
-	link      linkID    // that carried it
+	Silenced  bool      // the network has dropped something that was sent on its connection, or has reset it
+	link      *passage  // that carried it
 }
 
 // Hold is something that an engine keeps for a request until it is let go.
@@ -68,10 +70,8 @@
 	mu       sync.Mutex
 	attempts []*Attempt
 	holds    []*Hold
-	held     map[string][]*Hold   // by request, those that last
-	links    map[string]linkID    // by the address from which an engine sees the connection: the one that has it now
-	closed   map[linkID]time.Time // when the router closed a connection
-	lastLink linkID
+	held     map[string][]*Hold  // by request, those that last
+	passages map[string]*passage // by the address from which an engine sees the connection: the one that has it now
 	probes   int
 	unknown  int // calls that no client's request explains
 	overflow bool
@@ -79,7 +79,7 @@
 
 // NewCluster returns an empty cluster.
 func NewCluster() *Cluster {
-	return &Cluster{held: map[string][]*Hold{}, links: map[string]linkID{}, closed: map[linkID]time.Time{}}
+	return &Cluster{held: map[string][]*Hold{}, passages: map[string]*passage{}}
 }
 
 // begin records an attempt.
@@ -163,30 +163,94 @@
 	}
 }
 
-// linkID numbers the connections through proxies.
-type linkID uint64
+// passage is what is known of a connection through a proxy: when the router sent what, whatever the network did with it.
+type passage struct {
+	mu       sync.Mutex
+	first    time.Time // of the bytes of the request under way
+	last     time.Time // of what came from the router
+	answered bool      // the engine has sent something since
+	closed   time.Time // by the router
+	lossy    bool      // something was dropped, or the connection reset
+}
+
+// sent notes that bytes came from the router.
+func (p *passage) sent() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.last = time.Now()
+	if p.first.IsZero() || p.answered {
+		p.first, p.answered = p.last, false
+	}
+}
 
-// linkOpened numbers a connection that an engine sees coming from an address.
-func (c *Cluster) linkOpened(from string) linkID {
+// received notes that bytes came from the engine.
+func (p *passage) received() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.answered = true
+}
+
+// end notes that the router has closed the connection, or ended its sending on it.
+func (p *passage) end() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed.IsZero() {
+		p.closed = time.Now()
+	}
+}
+
+// drop notes that something was dropped.
+func (p *passage) drop() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.lossy = true
+}
+
+func (p *passage) dropped() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.lossy
+}
+
+// times returns when the first and the last byte of the request under way came from the router.
+func (p *passage) times() (first, last time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.first, p.last
+}
+
+func (p *passage) closedAt() time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.closed
+}
+
+// newPassage notes a connection that an engine will see coming from an address.
+func (c *Cluster) newPassage(from string) *passage {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.lastLink++
-	c.links[from] = c.lastLink
-	return c.lastLink
+	p := &passage{}
+	c.passages[from] = p
+	return p
 }
 
-// linkFrom returns the connection that comes from an address.
-func (c *Cluster) linkFrom(from string) linkID {
+// forgetPassage forgets a connection that has ended. Attempts that it carried keep what is known of it.
+func (c *Cluster) forgetPassage(from string, p *passage) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.links[from]
+	if c.passages[from] == p {
+		delete(c.passages, from)
+	}
 }
 
-// linkClosed records that a router has closed a connection to a proxy.
-func (c *Cluster) linkClosed(link linkID) {
+// passageFrom returns the connection that comes from an address.
+func (c *Cluster) passageFrom(from string) *passage {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.closed[link] = time.Now()
+	if p := c.passages[from]; p != nil {
+		return p
+	}
+	return &passage{}
 }
 
 func (c *Cluster) countProbe() {
@@ -219,8 +283,12 @@
 	for _, a := range c.attempts {
 		copied := *a
 		copied.Events = append([]time.Time(nil), a.Events...)
-		if at, ok := c.closed[a.link]; ok && (a.Ended.IsZero() || at.Before(a.Ended)) {
-			copied.Outcome, copied.Ended = GivenUp, at
+		copied.Silenced = a.link.dropped()
+		if at := a.link.closedAt(); !at.IsZero() && (a.Ended.IsZero() || at.Before(a.Ended)) {
+			copied.Ended = at
+			if copied.Outcome == Running {
+				copied.Outcome = GivenUp
+			}
 		}
 		r.Attempts = append(r.Attempts, copied)
 	}
--- a/internal/standin/chat/discovery.go
+++ b/internal/standin/chat/discovery.go
@@ -20,9 +20,13 @@
 	order    []string
 	changes  []change
 	changed  chan struct{} // closed at the next change
-	down     bool
+	down     int           // outages that are under way
+	outages  []Outage
 }
 
+// Outage is a time in which all agents were silent.
+type Outage struct{ From, Until time.Time }
+
 // change is one entry of the directory's history.
 type change struct {
 	revision int64
@@ -51,20 +55,33 @@
 	d.changed = make(chan struct{})
 }
 
-// Down makes all agents silent, or speak again.
-func (d *Directory) Down(down bool) {
+// Down makes all agents silent until Up was called as often.
+func (d *Directory) Down() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.down == down {
-		return
+	if d.down++; d.down == 1 {
+		d.outages = append(d.outages, Outage{From: time.Now()})
+	}
+}
+
+// Up ends an outage. Calls that were open in it stay silent; those that come are answered.
+func (d *Directory) Up() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.down--; d.down == 0 {
+		d.outages[len(d.outages)-1].Until = time.Now()
 	}
-	d.down = down
-	close(d.changed)
-	d.changed = make(chan struct{})
+}
+
+// Outages returns the times in which all agents were silent.
+func (d *Directory) Outages() []Outage {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return append([]Outage(nil), d.outages...)
 }
 
 // since returns what is newer than a revision, or the whole list for a negative one, and what tells of the next change.
-func (d *Directory) since(revision int64) (list watch.List, at []change, next <-chan struct{}, down bool) {
+func (d *Directory) since(revision int64) (list watch.List, at []change, next <-chan struct{}, outages int) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	list = watch.List{Revision: d.revision, Complete: revision < 0, Members: []watch.Member{}}
@@ -83,7 +100,11 @@
 			}
 		}
 	}
-	return list, at, d.changed, d.down
+	outages = 2 * len(d.outages) // odd while one is under way
+	if d.down > 0 {
+		outages--
+	}
+	return list, at, d.changed, outages
 }
 
 // Told is the word of discovery about one member, as it was written to a router.
@@ -129,6 +150,9 @@
 // Addr is where the router asks.
 func (a *Agent) Addr() string { return a.listener.Addr().String() }
 
+// Retire takes no new connections; open ones go on until Close.
+func (a *Agent) Retire() { a.listener.Close() }
+
 // Close ends the agent.
 func (a *Agent) Close() {
 	a.server.Close()
@@ -206,9 +230,14 @@
 	}()
 	timer := time.NewTimer(timeout)
 	defer timer.Stop()
+	_, _, _, began := a.directory.since(revision)
 	for over := timeout == 0; ; {
-		list, changes, next, down := a.directory.since(revision)
-		if !down && (over || list.Complete || len(changes) > 0) {
+		list, changes, next, outages := a.directory.since(revision)
+		if outages != began || outages%2 == 1 { // calls that meet an outage are never answered
+			<-r.Context().Done()
+			return
+		}
+		if over || list.Complete || len(changes) > 0 {
 			a.tell(w, &list, changes)
 			return
 		}
--- a/internal/standin/chat/engine.go
+++ b/internal/standin/chat/engine.go
@@ -195,12 +195,10 @@
 	engine *Engine
 	br     *bufio.Reader
 	router int
-	link   linkID
 }
 
 func (e *Engine) serve(nc net.Conn) {
-	c := &engineConn{Conn: nc, engine: e, br: bufio.NewReaderSize(nc, engineBuffer), router: routerOf(nc.RemoteAddr()),
-		link: e.opts.Cluster.linkFrom(nc.RemoteAddr().String())}
+	c := &engineConn{Conn: nc, engine: e, br: bufio.NewReaderSize(nc, engineBuffer), router: routerOf(nc.RemoteAddr())}
 	for c.exchange() {
 	}
 }
@@ -210,7 +208,6 @@
 	if _, err := c.br.Peek(1); err != nil {
 		return false
 	}
-	firstByte := time.Now()
 	head, err := http1.ReadHead(c.br, engineMaxHead)
 	if err != nil {
 		return false
@@ -249,8 +246,10 @@
 			c.answer(400, "")
 			return false
 		}
-		a := &Attempt{Request: id, Engine: c.engine.opts.ID, Router: c.router, Writer: c.engine.opts.Writer, FirstByte: firstByte,
-			Arrived: arrived, TimeLeft: time.Duration(ms) * time.Millisecond, link: c.link}
+		link := c.engine.opts.Cluster.passageFrom(c.RemoteAddr().String())
+		first, last := link.times()
+		a := &Attempt{Request: id, Engine: c.engine.opts.ID, Router: c.router, Writer: c.engine.opts.Writer, FirstByte: first,
+			LastByte: last, Arrived: arrived, TimeLeft: time.Duration(ms) * time.Millisecond, link: link}
 		c.engine.opts.Cluster.begin(a)
 		return c.run(a)
 	}
--- a/internal/standin/chat/proxy.go
+++ b/internal/standin/chat/proxy.go
@@ -22,6 +22,7 @@
 	links   map[*link]struct{}
 	silent  bool
 	slow    time.Duration // a new connection carries nothing for so long
+	stalls  int           // that are under way
 	stalled []net.Conn    // fill the queue of the kernel, so that dials do not come up
 	gate    chan struct{} // closed while connections are accepted
 	struck  map[string]int
@@ -32,7 +33,7 @@
 type link struct {
 	proxy          *Proxy
 	router, engine *net.TCPConn
-	id             linkID
+	passage        *passage
 	lost           bool // something was dropped: the connection is of no use any more
 }
 
@@ -91,15 +92,17 @@
 	}
 }
 
-// Silence drops what either side sends, and says nothing of it, until Resume.
-func (p *Proxy) Silence() {
+// Silence drops what either side sends, and says nothing of it, until Resume; dials do not come up.
+func (p *Proxy) Silence() error {
 	p.mu.Lock()
-	defer p.mu.Unlock()
 	p.silent = true
+	p.mu.Unlock()
+	return p.StallDials()
 }
 
 // Resume ends a silence: connections on which something was dropped are reset, all others go on.
 func (p *Proxy) Resume() {
+	p.LetDials()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.silent = false
@@ -117,13 +120,13 @@
 	p.slow = d
 }
 
-// StallDials keeps dials from coming up until LetDials: the kernel's queue of the listener is filled.
+// StallDials keeps dials from coming up until LetDials was called as often: the kernel's queue of the listener is filled.
 func (p *Proxy) StallDials() error {
 	const fillWithin = 20 * time.Millisecond // a dial on loopback that takes longer finds the queue full
 	const mostFill = 8
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.closed || len(p.stalled) > 0 {
+	if p.stalls++; p.closed || p.stalls > 1 {
 		return nil
 	}
 	if err := p.backlog(0); err != nil {
@@ -146,14 +149,32 @@
 	const usualBacklog = 128
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.stalls--; p.stalls > 0 {
+		return
+	}
 	for _, c := range p.stalled {
 		c.Close()
 	}
 	p.stalled = nil
+	p.resetQueue()
 	p.backlog(usualBacklog)
 	p.openGate()
 }
 
+// resetQueue resets the connections that wait in the kernel's queue. mu is held, and nobody accepts.
+func (p *Proxy) resetQueue() {
+	const within = 2 * time.Millisecond
+	p.listener.SetDeadline(time.Now().Add(within))
+	defer p.listener.SetDeadline(time.Time{})
+	for {
+		c, err := p.listener.AcceptTCP()
+		if err != nil {
+			return
+		}
+		reset(c)
+	}
+}
+
 // openGate lets connections be accepted. mu is held.
 func (p *Proxy) openGate() {
 	select {
@@ -188,7 +209,7 @@
 			return
 		}
 		if err != nil {
-			continue // the client has left the queue
+			continue // the client has left the queue, or the queue is being reset
 		}
 		p.work.Add(1)
 		go func() {
@@ -210,7 +231,9 @@
 	}
 	engine := c.(*net.TCPConn)
 	defer engine.Close()
-	l := &link{proxy: p, router: router, engine: engine, id: p.cluster.linkOpened(engine.LocalAddr().String())}
+	from := engine.LocalAddr().String()
+	l := &link{proxy: p, router: router, engine: engine, passage: p.cluster.newPassage(from)}
+	defer p.cluster.forgetPassage(from, l.passage)
 	p.mu.Lock()
 	if p.closed {
 		p.mu.Unlock()
@@ -222,25 +245,31 @@
 		p.struck["slow starts"]++
 	}
 	p.mu.Unlock()
-	time.Sleep(slow)
 	var both sync.WaitGroup
 	both.Add(1)
 	go func() {
 		defer both.Done()
-		l.copy(engine, router, true)
+		l.copy(engine, router, true, slow)
 	}()
-	l.copy(router, engine, false)
+	l.copy(router, engine, false, 0)
 	both.Wait()
 	p.mu.Lock()
 	delete(p.links, l)
 	p.mu.Unlock()
 }
 
-// copy carries bytes one way until either side ends. What comes in a silence is dropped.
-func (l *link) copy(to, from *net.TCPConn, fromRouter bool) {
+// copy carries bytes one way until either side ends, the first ones after a delay. What comes in a silence is dropped.
+func (l *link) copy(to, from *net.TCPConn, fromRouter bool, delay time.Duration) {
 	buf := make([]byte, copyBuffer)
 	for {
 		n, err := from.Read(buf)
+		if n > 0 && fromRouter {
+			l.passage.sent()
+		} else if n > 0 {
+			l.passage.received()
+		}
+		time.Sleep(delay)
+		delay = 0
 		if n > 0 && l.passes() {
 			if _, werr := to.Write(buf[:n]); werr != nil {
 				l.end(from, werr)
@@ -251,7 +280,7 @@
 			continue
 		}
 		if fromRouter {
-			l.proxy.cluster.linkClosed(l.id)
+			l.passage.end()
 		}
 		if l.passes() {
 			l.end(to, err)
@@ -276,6 +305,7 @@
 	defer l.proxy.mu.Unlock()
 	if l.proxy.silent && !l.lost {
 		l.lost = true
+		l.passage.drop()
 		l.proxy.struck["connections silent"]++
 	}
 	return !l.lost
@@ -283,6 +313,7 @@
 
 // reset resets both sides.
 func (l *link) reset() {
+	l.passage.drop()
 	l.router.SetLinger(0)
 	l.engine.SetLinger(0)
 	l.router.Close()
