What is held is let go in time though a send was dropped or a read's answer lost

Requests waited for writers that had never got them, to the time-out or the deadline, and for reads whose answers were lost; the clock of what is held was taken to rest.

Change, decide/liveness.go: before the time of what is held is over, the server of an attempt without a sign is asked on a connection made for it. If that does not come up the attempt is called off; one that hangs and is reached is waited for. Only an attempt that has come to its server sets the clock back. A read that was given up may have left something, and is let go again each second until its engine was heard. A stream is given up after 4.7 s without an event, not 4: an engine that hung for over 4 s in the middle was cut off while its events were still to come.

Also: an engine is never told more time than is left, the request is written anew instead (guard.Stale). The soak's proxies note what comes when it comes, and stall dials for certain.

--- a/decide/api.go
+++ b/decide/api.go
@@ -10,7 +10,9 @@
 //	writer.go        fit, fewest own streams, lowest booked cost, smallest footprint; distances
 //	guards.go        send and giveUp, the only ways to an attempt and to an answer of this router's
 //	                 own, keep the rules 1 to 4; close keeps rule 5
+//	limits.go        slack for a process that is held up
 //	shutdown.go      what is still taken on once the router was told to end
+//	liveness.go      waits without a sign from a server
 //	slowstart.go     the budget of rule 4
 //	health.go        outlier ejection: symptoms, leaving out, the way back in
 //	probing.go       asking for load before a pick, and probes paced by their price
@@ -110,6 +112,8 @@
 	AskWithin     Duration
 	DrainGrace    Duration
 	LetGoWithin   Duration
+	LetGoAtEnd    bool // what is let go of an open request is held until the request is over
+	ByArrival     bool // the time of what is held rests only for sends that have come to their server
 	FallMultiple  float64
 	OverloadFor   Duration
 	StartCapacity float64
@@ -194,6 +198,7 @@
 	Report  Report
 	Token   uint64
 	Held    bool // PlaceAnswer
+	Fresh   bool // Probed: as the action had it
 	Servers []Listing
 	Job     Job // Arrived
 
@@ -222,7 +227,7 @@
 	Release                   // Request
 	Move                      // Request
 	WakeMe                    // After, Token
-	Probe                     // Server
+	Probe                     // Server, Fresh (on a connection that is made for it)
 	Reserve                   // Request, Server
 	Watch                     // ask for the list and its changes
 	Note                      // Text
@@ -238,5 +243,6 @@
 	// NotAfter, of Send: the last byte may not leave later; 0 is no bound.
 	NotAfter Time
 	Token    uint64
+	Fresh    bool
 	Text     string
 }
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -36,6 +36,8 @@
 	coldWork float64 // the work of that
 	probing  bool
 	probedAt Time
+	checking bool // it is asked whether it can be reached
+	heardAt  Time // when it last gave a sign of any kind
 }
 
 type stage uint8
@@ -101,6 +103,7 @@
 	tenants   []tenant
 	asking    []*request // wait for readers' answers, in the order of their arrival
 	unwatched bool       // an asking for the list has failed
+	unsure    []unsure   // attempts that have shown no sign, in the order in which they were sent
 	shutdown  *Shutdown  // nil: the router was not told to end
 }
 
--- /dev/null
+++ b/decide/liveness.go
@@ -0,0 +1,102 @@
+package decide
+
+import (
+	"math"
+	"slices"
+)
+
+// Waits without a sign. What is held for a request may be held for a time, which rests only while an attempt
+// is out; and a send that the network has dropped is not out. A read may have ended, too, though its answer
+// was dropped. So before that time is over the server has to show that it can be reached, by an answer to
+// whatever, or by taking a new connection. One that is reached and hangs is waited for. At one that is not,
+// the attempt is called off, so that another server gets the request, or what is held is let go.
+
+// unsure is an attempt that waits for a sign.
+type unsure struct {
+	request *request
+	attempt int
+	asked   int // how often its server was asked for one
+}
+
+// mostAsked bounds what an attempt may cost: a server that hangs and can be reached is not asked for ever.
+const mostAsked = 2
+
+const never Time = math.MaxInt64
+
+// heldUntil is the last instant at which what is held since a time may be let go.
+func (r *Router) heldUntil(since Time) Time { return since + r.set.LetGoWithin + holdSlack }
+
+// signBy is when the server of the attempt that is out has to have given its next sign; never if it need not.
+func (r *Router) signBy(q *request) Time {
+	s := q.out
+	switch {
+	case q.mayHold && s.heardAt <= q.sentAt:
+		return r.heldUntil(q.heldAt) // the attempt may not have come there
+	case q.stage == reading:
+		// It may have ended since, and its answer be lost.
+		return r.heldUntil(max(q.sentAt, s.heardAt))
+	}
+	return never
+}
+
+// seeks tells whether signs are looked for. Where they are not, every attempt counts as out.
+func (r *Router) seeks() bool { return r.set.ByArrival && r.set.Probing && r.set.MayCancel }
+
+// noteHeld notes since when what may be held for a request waits for an attempt, once one has ended. Only
+// an attempt that has come to its server was out. A read that is not heard of may have ended well.
+func (r *Router) noteHeld(q *request, s *server, was stage, o Outcome) {
+	lost := was == reading && (o == TimedOut || o == Reset || o == Cancelled)
+	switch {
+	case o == ConnectFailed || o == Moot:
+	case o == ReadDone || o == Served || s.heardAt > q.sentAt || !r.seeks():
+		q.heldAt = r.now
+	case lost && !q.mayHold:
+		q.heldAt = q.sentAt
+	}
+	q.mayHold = q.mayHold || lost && r.seeks()
+}
+
+// watchWait has an attempt that was just sent watched, if something may be held for it.
+func (r *Router) watchWait(q *request) {
+	if (q.stage == reading || q.mayHold) && r.seeks() {
+		r.unsure = append(r.unsure, unsure{request: q, attempt: q.attempts - 1})
+	}
+}
+
+// lookAtWaits asks the servers of attempts whose time is nearly over.
+func (r *Router) lookAtWaits() {
+	r.unsure = slices.DeleteFunc(r.unsure, func(u unsure) bool { return !r.isUnsure(u) })
+	for i := range r.unsure {
+		u := &r.unsure[i]
+		s := u.request.out
+		due := r.now+r.set.DialTimeout+tickEvery >= r.signBy(u.request)
+		if due && !s.checking && u.asked < mostAsked {
+			s.checking = true
+			u.asked++
+			r.act(Action{Kind: Probe, Server: s.id, Fresh: true})
+		}
+	}
+}
+
+// isUnsure tells whether an attempt is out whose server has to give a sign yet.
+func (r *Router) isUnsure(u unsure) bool {
+	q := u.request
+	out := !q.closed && q.out != nil && q.stage != streaming && q.attempts-1 == u.attempt
+	return out && r.signBy(q) < never
+}
+
+// reached takes in whether a server can be reached. The attempts that wait at one that can't are called off.
+func (r *Router) reached(s *server, ev *Event) {
+	s.checking = false
+	if ev.Outcome == Served || ev.Fresh && ev.Outcome != ConnectFailed {
+		s.heardAt = r.now
+	}
+	if ev.Outcome != ConnectFailed {
+		return
+	}
+	for _, u := range r.unsure {
+		if r.isUnsure(u) && u.request.out == s {
+			r.act(Action{Kind: Cancel, Request: u.request.id, Attempt: u.attempt})
+		}
+	}
+}
--- /dev/null
+++ b/decide/liveness_test.go
@@ -0,0 +1,98 @@
+package decide
+
+import "testing"
+
+// waiting brings a request to an attempt that gets no answer, at a reader or at a writer, with room in the ration of
+// time-outs used up: it is waited for to the deadline.
+func waiting(t *testing.T, class int, writer bool) (w *world, id RequestID, s ServerID, attempt int) {
+	set := settings()
+	set.Probing, set.ByArrival, set.LetGoWithin = true, true, Second
+	w = newWorld(t, set, fleet())
+	w.r.again = 0
+	if writer {
+		id, s = w.read(class)
+		return w, id, s, 1
+	}
+	id, acts := w.arrive(class)
+	return w, id, w.sent(acts), 0
+}
+
+// checked lets time pass until a server is asked whether it can be reached.
+func (w *world) checked(most Duration) *Action {
+	for end := w.now + most; w.now < end; {
+		w.now += tickEvery
+		acts := w.do(Event{Kind: Timer})
+		for i := range acts {
+			if acts[i].Kind == Probe && acts[i].Fresh {
+				return &acts[i]
+			}
+		}
+	}
+	return nil
+}
+
+// A server that gives no sign is asked before the time of what is held is over. At one that can't be reached the attempt is
+// called off in time; at one that can it is waited for.
+func TestServersThatGiveNoSign(t *testing.T) {
+	for n := range 4 {
+		writer, class := n%2 == 1, []int{safe, unsafeClass}[n/2]
+		for _, o := range []Outcome{ConnectFailed, TimedOut, Served} {
+			w, id, s, attempt := waiting(t, class, writer)
+			began := w.now
+			check := w.checked(2 * Second)
+			if check == nil || check.Server != s {
+				t.Errorf("writer %v: asked %+v", writer, check)
+				continue
+			}
+			w.now += w.r.set.DialTimeout
+			acts := w.do(Event{Kind: Probed, Server: s, Fresh: true, Outcome: o})
+			cancel := find(acts, Cancel)
+			if (cancel != nil) != (o == ConnectFailed) {
+				t.Errorf("writer %v, outcome %d: %v", writer, o, kinds(acts))
+			}
+			if cancel != nil && (cancel.Request != id || cancel.Attempt != attempt) {
+				t.Errorf("writer %v: called off %+v", writer, cancel)
+			}
+			if most := w.r.set.LetGoWithin + 300*ms - HoldUp; cancel != nil && w.now-began > most {
+				t.Errorf("writer %v: called off after %d ms, at most %d are allowed", writer, (w.now-began)/ms, most/ms)
+			}
+			again := 0
+			for o != ConnectFailed && w.checked(5*Second) != nil {
+				w.do(Event{Kind: Probed, Server: s, Fresh: true, Outcome: o})
+				again++
+			}
+			if writer && again > 0 || again >= mostAsked { // a read's answer may be dropped later
+				t.Errorf("writer %v, outcome %d: asked %d times again", writer, o, again)
+			}
+		}
+	}
+}
+
+// Nobody is asked who has given a sign since, nor after the attempt's end.
+func TestNoCheckWithoutNeed(t *testing.T) {
+	for name, then := range map[string]func(w *world, id RequestID, s ServerID){
+		"probed meanwhile": func(w *world, _ RequestID, s ServerID) {
+			w.do(Event{Kind: Probed, Server: s, Outcome: Served})
+		},
+		"another answer": func(w *world, _ RequestID, s ServerID) {
+			other, at := w.read(safe)
+			for n := 0; at != s && n < 10; n++ { // each goes where the fewest streams are
+				other, at = w.read(safe)
+			}
+			w.end(other, 1, s, Full)
+		},
+		"first token": func(w *world, id RequestID, s ServerID) {
+			w.do(Event{Kind: FirstToken, Request: id, Server: s, Attempt: 1, Spent: ms})
+		},
+		"client gone": func(w *world, id RequestID, _ ServerID) { w.do(Event{Kind: ClientGone, Request: id}) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			w, id, s, _ := waiting(t, safe, true)
+			w.now += ms
+			then(w, id, s)
+			if check := w.checked(3 * Second); check != nil && check.Server == s {
+				t.Errorf("asked %+v", check)
+			}
+		})
+	}
+}
--- a/decide/probing.go
+++ b/decide/probing.go
@@ -88,6 +88,7 @@
 	if !r.set.Probing {
 		return
 	}
+	r.lookAtWaits()
 	for ; r.probes >= 1; r.probes-- {
 		var next *server
 		for _, s := range r.order {
@@ -107,7 +108,10 @@
 	if s == nil {
 		return
 	}
-	s.probing = false
+	if !ev.Fresh {
+		s.probing = false
+	}
+	r.reached(s, ev)
 	if ev.Outcome == Served {
 		r.report(s, ev.Report)
 	} else {
--- a/decide/request.go
+++ b/decide/request.go
@@ -61,7 +61,7 @@
 	if s == nil || q == nil || q.out != s || q.stage != writing {
 		return
 	}
-	s.quietFrom, s.pending = r.now, s.pending-1 // it has been heard
+	s.quietFrom, s.heardAt, s.pending = r.now, r.now, s.pending-1 // it has been heard
 	r.good(q, s, float64(ev.Spent)/q.expect)
 	r.learnMove(distance(q, s), ev.Spent)
 	q.stage, q.mayHold, q.state, q.startedAt = streaming, false, nil, r.now
@@ -80,9 +80,7 @@
 	r.unbook(q, s, ev)
 	was := q.stage
 	q.out = nil
-	if ev.Outcome != ConnectFailed {
-		q.heldAt = r.now
-	}
+	r.noteHeld(q, s, was, ev.Outcome)
 	if was == reading && ev.Outcome == ReadDone {
 		if q.job.Prefix > 0 && s.kept[q.key] == 0 && r.many {
 			r.found += answerGain * (min(ev.Kept/q.job.Prefix, 1) - r.found)
@@ -105,8 +103,8 @@
 	case ev.Outcome == ReadDone:
 		r.write(q)
 	case ev.Outcome == Moot || float64(q.job.Deadline-r.now) <= r.usual(Writer, nil)*writeExpected,
-		q.mayHold && ev.Outcome == ConnectFailed &&
-			r.now-q.heldAt+r.set.DialTimeout > r.set.LetGoWithin+holdSlack:
+		q.mayHold && (ev.Outcome == ConnectFailed || r.seeks()) &&
+			r.now+r.set.DialTimeout > r.heldUntil(q.heldAt):
 		// Nothing more would be answered before the client leaves, or what is held would stay too long: no
 		// connection that does not come up claims it, and the next may not come up either.
 		r.giveUp(q, "no time for another attempt")
@@ -139,15 +137,15 @@
 	}
 	switch ev.Outcome {
 	case Served:
-		s.quietFrom = r.now
+		s.quietFrom, s.heardAt = r.now, r.now
 	case Full:
-		s.quietFrom = r.now
+		s.quietFrom, s.heardAt = r.now, r.now
 		// Against one that turns away what its peers take. When half of a pool does, it is load: see benchIt.
 		if !ev.NoState {
 			r.bad(s, false)
 		}
 	case ReadDone:
-		s.quietFrom = r.now
+		s.quietFrom, s.heardAt = r.now, r.now
 		if r.found > 0 {
 			q.expect = max(q.expect+(q.job.Prompt-ev.Kept-q.tokens)*r.pace, paceTokens*r.pace)
 		}
@@ -158,6 +156,9 @@
 			r.pace *= 1 + paceUp
 		}
 	case Error, Reset, TimedOut, ConnectFailed:
+		if ev.Outcome == Error {
+			s.heardAt = r.now
+		}
 		if ev.Outcome == TimedOut && q.stage != streaming {
 			if q.sentAt < s.quietFrom && r.usual(s.role, nil) < calmTimes {
 				return // the server was heard since, and no queue is long: this one or its answer was lost
--- a/internal/engine/chat/chat.go
+++ b/internal/engine/chat/chat.go
@@ -39,6 +39,7 @@
 	hedgePause  = 15 * time.Millisecond
 	maxHedged   = 3
 	readEnds    = 30 * time.Millisecond // a read that was given up ends within this time, or has ended well
+	maxCallOffs = 8                     // calls for one read that was given up, while its engine is not heard
 	expireEvery = time.Second
 	standsAfter = 2 * time.Millisecond // the last byte of a request is held back for so long
 	connTries   = 3                    // connections for one attempt, while none has brought the request
@@ -220,11 +221,11 @@
 	return x.status == 200, nil
 }
 
-// Probe asks for a load report.
-func (c *Client) Probe(ctx context.Context, addr string) engine.Result {
+// Probe asks for a load report; fresh: on a connection that is made for it, which tells whether the engine is reached.
+func (c *Client) Probe(ctx context.Context, addr string, fresh bool) engine.Result {
 	ctx, cancel := context.WithTimeoutCause(ctx, c.opts.ProbeWithin, engine.ErrTimedOut)
 	defer cancel()
-	x, err := c.start(ctx, addr, &call{method: "GET", target: platform.LoadPath})
+	x, err := c.start(ctx, addr, &call{method: "GET", target: platform.LoadPath, fresh: fresh})
 	defer x.done()
 	if err != nil {
 		return x.failed(err)
--- a/internal/engine/chat/exchange.go
+++ b/internal/engine/chat/exchange.go
@@ -13,6 +13,7 @@
 
 	"mintdoor/decide"
 	"mintdoor/internal/engine"
+	"mintdoor/internal/guard"
 	"mintdoor/internal/http1"
 	"mintdoor/internal/platform"
 	"mintdoor/internal/settings"
@@ -61,7 +62,9 @@
 			return x, err
 		}
 		if x.conn != nil {
-			x.doubted()
+			if !errors.Is(err, guard.Stale) {
+				x.doubted()
+			}
 			x.stop()
 			x.conn.Close()
 			x.conn = nil
@@ -97,7 +100,7 @@
 // brokeBeforehand tells whether an error of write says that the connection was of no use.
 func brokeBeforehand(err error) bool {
 	return errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE) || errors.Is(err, io.EOF) ||
-		errors.Is(err, errUnasked)
+		errors.Is(err, errUnasked) || errors.Is(err, guard.Stale)
 }
 
 // doubted: the connection broke before an answer. If it was kept, others to its engine may be as dead.
@@ -158,7 +161,7 @@
 		return context.Cause(x.ctx)
 	}
 	if q.gate != nil {
-		if err := q.gate.MaySend(); err != nil {
+		if err := q.gate.MaySend(told); err != nil {
 			return err
 		}
 	}
--- a/internal/engine/chat/release.go
+++ b/internal/engine/chat/release.go
@@ -18,20 +18,33 @@
 
 // CallOff lets go of what a read may have left that was given up. It waits for the read's end first: a call
 // that overtakes the closing of the read's connection would find nothing, and leave what the read then ends with. Where
-// the network keeps the closing from the engine the read goes on and ends later, so the call is made once more.
+// the network keeps the closing from the engine the read goes on and ends later, so the call is made once more, and again
+// until the engine was heard, which has seen the connection end by then.
 func (c *Client) CallOff(ctx context.Context, addr, request string) error {
 	var err error
-	for _, wait := range []time.Duration{c.readEnds, c.opts.CallOffAgain} {
+	gaveUp := time.Now()
+	for n, wait := 0, c.readEnds; n < maxCallOffs; n, wait = n+1, c.opts.CallOffAgain {
 		select {
 		case <-ctx.Done():
 			return errors.Join(err, c.letGo(ctx, addr, request)) // says what it is that was not let go
 		case <-time.After(wait):
 		}
+		heard := c.heardSince(addr, gaveUp)
 		err = errors.Join(err, c.letGo(ctx, addr, request))
+		if n > 0 && heard {
+			break
+		}
 	}
 	return err
 }
 
+// heardSince tells whether an engine has answered something since a time.
+func (c *Client) heardSince(addr string, since time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.heard[addr].After(since)
+}
+
 // GiveUpPlace lets go of a place; the protocol has one call for all that is held.
 func (c *Client) GiveUpPlace(ctx context.Context, addr, request string) error {
 	return c.letGo(ctx, addr, request)
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -135,7 +135,7 @@
 // Read implements io.Reader.
 func (b *gatedBody) Read(p []byte) (int, error) {
 	if !b.asked {
-		if err := b.gate.MaySend(); err != nil {
+		if err := b.gate.MaySend(0); err != nil {
 			return 0, err
 		}
 		b.asked = true
@@ -437,8 +437,9 @@
 	return answer.Held && err == nil, err
 }
 
-// Probe asks for a load report.
-func (c *Client) Probe(ctx context.Context, addr string) Result {
+// Probe asks for a load report. A connection that stands will do, whatever is asked: engines hold states under leases that
+// the router renews, so no time runs that hangs on whether they are reached.
+func (c *Client) Probe(ctx context.Context, addr string, _ bool) Result {
 	ctx, cancel := context.WithTimeoutCause(ctx, c.opts.ProbeWithin, ErrTimedOut)
 	defer cancel()
 	x := c.post(ctx, http.MethodGet, addr, LoadPath, nil)
--- a/internal/engine/wire.go
+++ b/internal/engine/wire.go
@@ -230,10 +230,9 @@
 }
 
 // Gate has the last word on an attempt. What writes the attempt's request asks it immediately before the last byte, and
-// tells it immediately after.
+// tells it immediately after, both with the time that the engine is told; 0 where it is told none.
 type Gate interface {
-	MaySend() error
-	// Sent is told how much time the engine was told; 0 where it was told none.
+	MaySend(told time.Duration) error
 	Sent(told time.Duration)
 }
 
--- a/internal/guard/attempt.go
+++ b/internal/guard/attempt.go
@@ -19,9 +19,9 @@
 	ended   bool
 }
 
-// MaySend asks for leave to write the attempt's last byte. Everything that forbids it is looked at here, in the last
-// moment: dials and writes take time. The error is a Denial.
-func (a *Attempt) MaySend() error {
+// MaySend asks for leave to write the attempt's last byte; told is how much time its engine is told. Everything that forbids
+// it is looked at here, in the last moment: dials and writes take time. The error is a Denial.
+func (a *Attempt) MaySend(told time.Duration) error {
 	r := a.request
 	left := r.hasLeft()
 	withdrawn := false
@@ -40,6 +40,8 @@
 		err = r.guard.denied(Withdrawn)
 	case now.After(r.deadline), !a.limits.NotAfter.IsZero() && now.After(a.limits.NotAfter):
 		err = r.guard.denied(TooLate)
+	case !r.waits.IsZero() && now.Add(told).Sub(r.waits) > staleSlack:
+		err = r.guard.denied(Stale)
 	default:
 		a.cleared = now
 	}
@@ -50,6 +52,9 @@
 	return err
 }
 
+// staleSlack is how much more time than is left an engine may be told when the last byte leaves: what a write usually takes.
+const staleSlack = 10 * time.Millisecond
+
 // Sent tells that the attempt's last byte has left, and how much time the engine was told. What is wrong now has happened:
 // it counts as a violation.
 func (a *Attempt) Sent(told time.Duration) {
@@ -68,7 +73,7 @@
 		r.guard.violated(UnguardedSend, r, "")
 		return
 	}
-	if r.guard.heldUp(cleared, now) {
+	if now.Sub(cleared) > time.Duration(decide.HoldUp) || r.guard.heldUp(cleared, now) {
 		return // between its clock and the write; nobody can help that
 	}
 	late := time.Duration(decide.HoldUp)
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -10,8 +10,6 @@
 	"sync"
 	"sync/atomic"
 	"time"
-
-	"mintdoor/decide"
 )
 
 // Guard knows the open requests of one process. Make it with New. It is safe for concurrent use.
@@ -104,11 +102,11 @@
 	return g.takeUntil.IsZero() || !complete.After(g.takeUntil)
 }
 
-// heldUp tells whether something between two instants may be late since the process did not run.
+// heldUp tells whether the process is known not to have run at some time between two instants, or shows it right after.
 func (g *Guard) heldUp(from, until time.Time) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return until.Sub(from) > time.Duration(decide.HoldUp) || from.Before(g.heldUntil) && until.After(g.heldFrom)
+	return from.Before(g.heldUntil) && until.After(g.heldFrom)
 }
 
 // remove forgets a request that is over.
--- a/internal/guard/request.go
+++ b/internal/guard/request.go
@@ -140,7 +140,7 @@
 	switch {
 	case second:
 		r.guard.violated(SecondAnswer, r, what)
-	case late && r.left.IsZero() && !r.guard.heldUp(deadline, deadline):
+	case late && r.left.IsZero() && !r.guard.heldUp(deadline, now):
 		r.guard.violated(LateAnswer, r, now.Sub(deadline).String())
 	}
 	return !second
--- a/internal/guard/violation.go
+++ b/internal/guard/violation.go
@@ -61,10 +61,11 @@
 	TooLate                    // its time is over, or the window for repeats
 	Withdrawn                  // the engine takes nothing new
 	ShuttingDown               // the request came too late in a shutdown
+	Stale                      // the engine would be told more time than the client has left; it may be written anew
 	denialKinds
 )
 
-var denialNames = [denialKinds]string{"answered", "another_out", "client_left", "too_late", "withdrawn", "shutting_down"}
+var denialNames = [denialKinds]string{"answered", "another_out", "client_left", "too_late", "withdrawn", "shutting_down", "stale"}
 
 // Error implements error.
 func (d Denial) Error() string { return "not allowed to send: " + denialNames[d] }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -45,9 +45,11 @@
 	requestWithin = 2 * time.Second // a client's message; bad clients are owed a word within 3 s
 	clientIdle    = 6 * time.Second
 	clientStall   = 5 * time.Second
-	streamIdle    = 4 * time.Second // a client may be left to wait for 5 s on a stream that has stopped (PROTOCOL)
-	idleMargin    = 3               // of this many parts of the engines' idle time one is left unused
-	streamParts   = 64
+	// streamIdle: a client may be left to wait for 5 s on a stream that has stopped (PROTOCOL), and one whose events are
+	// still coming may not be cut off; the process may be held up.
+	streamIdle  = 5*time.Second - 2*time.Duration(decide.HoldUp)
+	idleMargin  = 3 // of this many parts of the engines' idle time one is left unused
+	streamParts = 64
 	// untoldConnIdle is taken for the engines' idle time where the settings do not tell it.
 	untoldConnIdle = 3 * time.Second
 	settle         = 2 * time.Second
@@ -98,6 +100,8 @@
 		zone = set.Zones[z]
 	}
 	set.Decide.Zone = discovery.Number(zone) // as the list's zones are numbered
+	set.Decide.LetGoAtEnd = true             // as router.ByRequest does
+	set.Decide.ByArrival = true              // PROTOCOL, 'The rules on sockets'
 	n.guard = guard.New(log)
 	n.Router = router.New(router.Config{Name: cfg.Name, Settings: set.Decide, Kinds: set.Kinds, Engines: n.engines,
 		Holds: router.ByRequest, Seed: cfg.Seed, Log: log, Guard: n.guard, MaxOpen: b.open, StreamParts: streamParts,
--- a/internal/router/actions.go
+++ b/internal/router/actions.go
@@ -50,7 +50,7 @@
 		r.timers.add(&entry{at: r.now + a.After, token: a.Token, generation: r.generation})
 		return
 	case decide.Probe:
-		r.probe(a.Server)
+		r.probe(a.Server, a.Fresh)
 		return
 	case decide.Watch:
 		if r.cfg.Watch != nil {
@@ -242,10 +242,10 @@
 }
 
 // probe asks an engine for its load.
-func (r *Router) probe(id decide.ServerID) {
+func (r *Router) probe(id decide.ServerID, fresh bool) {
 	s := r.servers[id]
 	if s == nil {
-		r.later = append(r.later, decide.Event{Kind: decide.Probed, Server: id, Outcome: decide.ConnectFailed,
+		r.later = append(r.later, decide.Event{Kind: decide.Probed, Server: id, Fresh: fresh, Outcome: decide.ConnectFailed,
 			Report: engine.Untold()})
 		return
 	}
@@ -254,8 +254,8 @@
 	go func() {
 		defer r.work.Done()
 		began := time.Now()
-		res := r.cfg.Engines.Probe(r.workCtx, s.addr)
-		r.post(message{kind: probed, server: id, res: res, spent: time.Since(began)})
+		res := r.cfg.Engines.Probe(r.workCtx, s.addr, fresh)
+		r.post(message{kind: probed, server: id, fresh: fresh, res: res, spent: time.Since(began)})
 	}()
 }
 
--- a/internal/router/loop.go
+++ b/internal/router/loop.go
@@ -27,6 +27,7 @@
 	name   string           // placed
 	held   bool             // placed
 	spent  time.Duration    // probed
+	fresh  bool             // probed
 	plan   *decide.Shutdown // shuttingDown
 }
 
@@ -169,7 +170,7 @@
 	case listed:
 		r.listed(&m.update)
 	case probed:
-		r.tell(&decide.Event{Kind: decide.Probed, Server: m.server, Outcome: m.res.Outcome,
+		r.tell(&decide.Event{Kind: decide.Probed, Server: m.server, Fresh: m.fresh, Outcome: m.res.Outcome,
 			Spent: decide.Duration(m.spent), Report: m.res.Report})
 	case placed:
 		r.placed(m)
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -37,7 +37,8 @@
 	CallOff(ctx context.Context, addr, request string) error
 	Reserve(ctx context.Context, addr string, p *engine.PlaceRequest) (bool, error)
 	GiveUpPlace(ctx context.Context, addr, request string) error
-	Probe(ctx context.Context, addr string) engine.Result
+	// Probe asks an engine for its load; fresh: on a connection that is made for it.
+	Probe(ctx context.Context, addr string, fresh bool) engine.Result
 	Forget(addr string)
 }
 
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -85,6 +85,7 @@
 	for _, r := range w.Routers {
 		e.lives = append(e.lives, r.Lives())
 		e.told = append(e.told, toldOfDrains(w.agentsOf(r.Index)))
+		e.paths = append(e.paths, w.pathsOf(r.Index))
 	}
 	if e.record.Overflow {
 		return nil, errors.New("the run was too long: its record is not whole")
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -42,10 +42,10 @@
 	mu         sync.Mutex
 	engines    map[string]*standin.Engine
 	members    map[string]watch.Member
-	claimed    map[string]bool      // engines that are on their way out
-	all        []*standin.Engine    // that ever ran
-	allProxies []*standin.Proxy     // that ever were
-	starts     map[string]time.Time // of engines that started cold
+	claimed    map[string]bool         // engines that are on their way out
+	all        []*standin.Engine       // that ever ran
+	allProxies map[link]*standin.Proxy // that ever were
+	starts     map[string]time.Time    // of engines that started cold
 	proxies    map[link]*standin.Proxy
 	agents     map[int][]*standin.Agent // all that there were, by router
 	serial     int
@@ -66,7 +66,7 @@
 		o.figures = defaultFigures()
 	}
 	w := &World{opts: o, Cluster: standin.NewCluster(), Directory: standin.NewDirectory(), engines: map[string]*standin.Engine{},
-		members: map[string]watch.Member{}, claimed: map[string]bool{}, starts: map[string]time.Time{}, agents: map[int][]*standin.Agent{}, proxies: map[link]*standin.Proxy{}}
+		members: map[string]watch.Member{}, claimed: map[string]bool{}, allProxies: map[link]*standin.Proxy{}, starts: map[string]time.Time{}, agents: map[int][]*standin.Agent{}, proxies: map[link]*standin.Proxy{}}
 	for i := range o.Routers {
 		r, err := w.newRouter(i)
 		if err != nil {
@@ -137,6 +137,22 @@
 	return a, nil
 }
 
+// pathsOf tells how a router reached all engines that there were.
+func (w *World) pathsOf(router int) map[string]*path {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	out := map[string]*path{}
+	for _, e := range w.all {
+		p := &path{since: e.Started(), gaps: e.Absences()}
+		if proxy := w.allProxies[link{router, e.ID()}]; proxy != nil {
+			p.gaps = append(p.gaps, proxy.Silences()...)
+		}
+		slices.SortFunc(p.gaps, func(a, b standin.Span) int { return a.From.Compare(b.From) })
+		out[e.ID()] = p
+	}
+	return out
+}
+
 // agentsOf returns all agents that a router was told of.
 func (w *World) agentsOf(router int) []*standin.Agent {
 	w.mu.Lock()
@@ -177,7 +193,7 @@
 	}
 	for at, p := range proxies {
 		w.proxies[at] = p
-		w.allProxies = append(w.allProxies, p)
+		w.allProxies[at] = p
 	}
 	w.mu.Unlock()
 	w.Directory.Put(m)
--- a/internal/standin/chat/engine.go
+++ b/internal/standin/chat/engine.go
@@ -53,8 +53,9 @@
 
 // Engine is one stand-in engine. It listens on an address of its own; routers reach it through proxies.
 type Engine struct {
-	opts EngineOptions
-	work sync.WaitGroup
+	opts    EngineOptions
+	started time.Time
+	work    sync.WaitGroup
 
 	mu        sync.Mutex
 	behaviour Behaviour
@@ -64,6 +65,7 @@
 	conns     map[net.Conn]struct{}
 	busy      int
 	dead      bool
+	absences  []Span // in which it hung, and since its death
 	struck    map[string]int
 }
 
@@ -84,7 +86,7 @@
 	if o.Slots == 0 {
 		o.Slots = defaultSlots
 	}
-	e := &Engine{opts: o, random: rand.New(rand.NewPCG(o.Seed, 17)), conns: map[net.Conn]struct{}{},
+	e := &Engine{opts: o, started: time.Now(), random: rand.New(rand.NewPCG(o.Seed, 17)), conns: map[net.Conn]struct{}{},
 		hung: make(chan struct{}), struck: map[string]int{}}
 	close(e.hung)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -110,16 +112,31 @@
 func (e *Engine) Behave(b Behaviour) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if e.dead {
+		return
+	}
 	if b.Hang != e.behaviour.Hang {
 		if b.Hang {
 			e.hung = make(chan struct{})
+			e.absences = append(e.absences, Span{From: time.Now()})
 		} else {
 			close(e.hung)
+			e.absences[len(e.absences)-1].Until = time.Now()
 		}
 	}
 	e.behaviour = b
 }
 
+// Started tells when the engine began to run.
+func (e *Engine) Started() time.Time { return e.started }
+
+// Absences returns the times in which the engine did nothing.
+func (e *Engine) Absences() []Span {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return append([]Span(nil), e.absences...)
+}
+
 // Struck tells how often each kind of behaviour has met a request.
 func (e *Engine) Struck() map[string]int {
 	e.mu.Lock()
@@ -139,6 +156,7 @@
 		return
 	}
 	e.dead = true
+	e.absences = append(e.absences, Span{From: time.Now()})
 	for c := range e.conns {
 		reset(c)
 	}
--- /dev/null
+++ b/internal/standin/chat/proxy_test.go
@@ -0,0 +1,64 @@
+package chat
+
+import (
+	"fmt"
+	"net"
+	"sync"
+	"testing"
+	"time"
+)
+
+// In a silence no dial comes up, at any of many proxies that fall silent together, and after it every one does.
+func TestDialsInASilence(t *testing.T) {
+	const proxies, dialWithin = 30, 250 * time.Millisecond
+	cluster := NewCluster()
+	e, err := NewEngine(EngineOptions{ID: "d", Cluster: cluster})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer e.Kill()
+	var all []*Proxy
+	for i := range proxies {
+		p, err := NewProxy(cluster, fmt.Sprintf("127.40.0.%d", i), e.Addr(), i)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer p.Close()
+		all = append(all, p)
+	}
+	each := func(do func(p *Proxy)) {
+		var work sync.WaitGroup
+		for _, p := range all {
+			work.Go(func() { do(p) })
+		}
+		work.Wait()
+	}
+	comesUp := func(p *Proxy) bool {
+		c, err := net.DialTimeout("tcp", p.Addr(), dialWithin)
+		if err != nil {
+			return false
+		}
+		c.Close()
+		return true
+	}
+	for range 3 {
+		each(func(p *Proxy) {
+			if err := p.Silence(); err != nil {
+				t.Error(err)
+			}
+		})
+		each(func(p *Proxy) {
+			for range 3 {
+				if comesUp(p) {
+					t.Error("a dial came up in the silence")
+				}
+			}
+		})
+		each((*Proxy).Resume)
+		each(func(p *Proxy) {
+			if !comesUp(p) {
+				t.Error("no dial comes up after the silence")
+			}
+		})
+	}
+}
