Reads that the network hides are let go though the answer has begun, or another read was lost

Its state stayed, as a first token was taken to let go of everything, and as only the last lost read was remembered. Each lost read is remembered now, and let go each second until its engine was heard, by then it has seen the end of the read's connection.

--- a/decide/liveness.go
+++ b/decide/liveness.go
@@ -26,15 +26,19 @@
 // heldUntil is the last instant at which what is held since a time may be let go.
 func (r *Router) heldUntil(since Time) Time { return since + r.set.LetGoWithin + holdSlack }
 
-// signBy is when the server of the attempt that is out has to have given its next sign; never if it need not.
+// arrived tells whether the attempt that is out has come to its server: that gave a sign after the last byte
+// had left, be it after a dial.
+func (r *Router) arrived(q *request) bool { return q.out.heardAt > q.sentAt+r.set.DialTimeout }
+
+// signBy is when the server of the attempt that is out has to have given its next sign; never if it need
+// give none.
 func (r *Router) signBy(q *request) Time {
-	s := q.out
 	switch {
-	case q.mayHold && s.heardAt <= q.sentAt:
-		return r.heldUntil(q.heldAt) // the attempt may not have come there
+	case q.mayHold && !r.arrived(q):
+		return r.heldUntil(q.heldAt)
 	case q.stage == reading:
 		// It may have ended since, and its answer be lost.
-		return r.heldUntil(max(q.sentAt, s.heardAt))
+		return r.heldUntil(max(q.sentAt, q.out.heardAt))
 	}
 	return never
 }
@@ -42,16 +46,18 @@
 // seeks tells whether signs are looked for. Where they are not, every attempt counts as out.
 func (r *Router) seeks() bool { return r.set.ByArrival && r.set.Probing && r.set.MayCancel }
 
-// noteHeld notes since when what may be held for a request waits for an attempt, once one has ended. Only
-// an attempt that has come to its server was out. A read that is not heard of may have ended well.
-func (r *Router) noteHeld(q *request, s *server, was stage, o Outcome) {
-	lost := was == reading && (o == TimedOut || o == Reset || o == Cancelled)
+// noteHeld notes since when what may be held for a request waits for an attempt, once the one that was out
+// has ended. Only one that has come to its server was out. A read that is not heard of may have ended well.
+func (r *Router) noteHeld(q *request, o Outcome) {
+	lost := q.stage == reading && (o == TimedOut || o == Reset || o == Cancelled)
 	switch {
 	case o == ConnectFailed || o == Moot:
-	case o == ReadDone || o == Served || s.heardAt > q.sentAt || !r.seeks():
+	case o == ReadDone || o == Served || !r.seeks():
+		q.heldAt = r.now
+	case lost && (r.arrived(q) || !q.mayHold):
+		q.heldAt = max(q.sentAt, q.out.heardAt)
+	case r.arrived(q):
 		q.heldAt = r.now
-	case lost && !q.mayHold:
-		q.heldAt = q.sentAt
 	}
 	q.mayHold = q.mayHold || lost && r.seeks()
 }
--- a/decide/request.go
+++ b/decide/request.go
@@ -78,9 +78,9 @@
 		return
 	}
 	r.unbook(q, s, ev)
+	r.noteHeld(q, ev.Outcome)
 	was := q.stage
 	q.out = nil
-	r.noteHeld(q, s, was, ev.Outcome)
 	if was == reading && ev.Outcome == ReadDone {
 		if q.job.Prefix > 0 && s.kept[q.key] == 0 && r.many {
 			r.found += answerGain * (min(ev.Kept/q.job.Prefix, 1) - r.found)
--- a/internal/engine/chat/release.go
+++ b/internal/engine/chat/release.go
@@ -38,6 +38,24 @@
 	return err
 }
 
+// CallOffUnheard lets go of what a read may leave that was given up at some time, until its engine was heard since: by then it
+// has seen the end of the read's connection.
+func (c *Client) CallOffUnheard(ctx context.Context, addr, request string, since time.Time) error {
+	var err error
+	for range maxCallOffs {
+		select {
+		case <-ctx.Done():
+			return err
+		case <-time.After(c.opts.CallOffAgain):
+		}
+		if c.heardSince(addr, since) {
+			return nil
+		}
+		err = c.letGo(ctx, addr, request)
+	}
+	return err
+}
+
 // heardSince tells whether an engine has answered something since a time.
 func (c *Client) heardSince(addr string, since time.Time) bool {
 	c.mu.Lock()
--- a/internal/router/holds.go
+++ b/internal/router/holds.go
@@ -1,6 +1,8 @@
 package router
 
 import (
+	"time"
+
 	"mintdoor/decide"
 	"mintdoor/internal/engine"
 )
@@ -26,6 +28,7 @@
 	unwanted(f *flight, p *place)            // a place was given up for another
 	lateWord(f *flight, m *message)          // on a place that is not the request's; f is nil when that is over
 	release(f *flight)                       // the module lets go of what no attempt waits on
+	begun(f *flight)                         // the answer has begun
 	over(f *flight)                          // nothing more is sent for the request
 	orphaned(a *attempt, res *engine.Result) // an attempt has ended after the loop; nobody else will let go
 }
@@ -79,6 +82,8 @@
 	}
 }
 
+func (k leased) begun(*flight) {}
+
 func (k leased) over(f *flight) { k.release(f) }
 
 func (k leased) orphaned(a *attempt, res *engine.Result) {
@@ -99,7 +104,7 @@
 
 func (k byRequest) sent(*attempt)                {}
 func (k byRequest) renew(*attempt)               {}
-func (k byRequest) lost(f *flight, addr string)  { f.unsure = addr }
+func (k byRequest) lost(f *flight, addr string)  { f.lost = append(f.lost, lostRead{addr, time.Now()}) }
 func (k byRequest) unwanted(f *flight, _ *place) { f.owed = true }
 func (k byRequest) release(f *flight)            { f.owed = f.owed || f.state != nil || f.place != nil }
 
@@ -116,9 +121,12 @@
 	if f.out != nil {
 		return // the loop stops; the attempt is orphaned
 	}
+	if n := len(f.lost); n > 0 {
+		k.r.callOff(f.lost[n-1].addr, f.name) // also lets go of what is known
+		k.stillLost(f, f.lost[:n-1])
+		return
+	}
 	switch {
-	case f.unsure != "": // also lets go of what is known
-		k.r.callOff(f.unsure, f.name)
 	case f.state != nil:
 		k.r.letGo(f.name, f.state)
 	case f.place != nil:
@@ -128,6 +136,21 @@
 	}
 }
 
+// begun: a first token lets go of all that is held by then.
+func (k byRequest) begun(f *flight) {
+	k.stillLost(f, f.lost)
+	f.lost = nil
+}
+
+// stillLost sees to reads that may end yet, as their engines have not seen the ends of their connections.
+func (k byRequest) stillLost(f *flight, reads []lostRead) {
+	for _, l := range reads {
+		k.r.aside(notCalledOff, f.name, l.addr, func() error {
+			return k.r.cfg.Engines.CallOffUnheard(k.r.workCtx, l.addr, f.name, l.at)
+		})
+	}
+}
+
 func (k byRequest) orphaned(a *attempt, res *engine.Result) {
 	if res.Outcome != decide.Served {
 		k.r.letGoNow(a.call.Params.Request, &engine.State{Addr: a.addr, Handle: a.call.Params.Request})
--- a/internal/router/loop.go
+++ b/internal/router/loop.go
@@ -160,6 +160,7 @@
 			return
 		}
 		m.a.granted <- true
+		r.keep.begun(f)
 		r.timers.remove(m.a.limit) // a stream that has begun has no time-out and no deadline
 		r.timers.remove(m.a.renewal)
 		r.timers.remove(f.guard)
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -32,6 +32,7 @@
 	places    []string
 	forgotten []string
 	calledOff int
+	unheard   int // calls of CallOffUnheard
 	renewed   int
 	prefill   func(ctx context.Context, addr string, q *engine.Call) engine.Result
 	decode    func(ctx context.Context, addr string, q *engine.Call, sink func(string) error) engine.Result
@@ -126,6 +127,13 @@
 	return nil
 }
 
+func (f *fakeEngines) CallOffUnheard(context.Context, string, string, time.Time) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.unheard++
+	return nil
+}
+
 func (f *fakeEngines) CallOff(context.Context, string, string) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/router/table.go
+++ b/internal/router/table.go
@@ -1,6 +1,8 @@
 package router
 
 import (
+	"time"
+
 	"mintdoor/decide"
 	"mintdoor/internal/engine"
 	"mintdoor/internal/guard"
@@ -17,12 +19,18 @@
 	guard    *entry        // answers at the deadline if nobody else did
 	state    *engine.State // waits at an engine for this request
 	place    *place        // asked for or held ahead
-	unsure   string        // address of a reader that may hold a state nobody heard of; "" none
+	lost     []lostRead    // reads that may have left a state nobody heard of, or may leave one yet
 	owed     bool          // ByRequest: something of it is to be let go at its end
 	lastErr  error         // of the last attempt that failed
 	late     bool          // the last attempt that failed timed out
 }
 
+// lostRead is a read that was given up, or broke, with no word on what it left.
+type lostRead struct {
+	addr string
+	at   time.Time
+}
+
 // place is a place ahead at a writer.
 type place struct {
 	server decide.ServerID
@@ -44,7 +52,7 @@
 	}
 	a.streaming = true
 	f.state, f.place = nil, nil // both have gone into the stream
-	f.unsure, f.owed = "", false
+	f.owed = false
 	return true
 }
 
