Soak: dials are stalled for certain, and no connection is caught in between

The listener's queue is filled only when nobody accepts, and what others had put there is served first.

--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
+	"net"
 	"slices"
 	"sync"
 	"syscall"
@@ -58,6 +60,7 @@
 	stalled map[*standin.Proxy]int
 	slow    map[*standin.Proxy]int
 	failed  []string // starts that failed
+	broken  error    // of the soak itself
 }
 
 func newInjector(w *World, t *traffic, f *front) *injector {
@@ -403,7 +406,7 @@
 }
 
 // hold applies something to paths that no other fault applies already, and takes it back after a while.
-func (in *injector) hold(held map[*standin.Proxy]int, paths []*standin.Proxy, d time.Duration, begin, end func(*standin.Proxy)) {
+func (in *injector) hold(held map[*standin.Proxy]int, paths []*standin.Proxy, d time.Duration, begin, end func(*standin.Proxy) error) {
 	in.mu.Lock()
 	var fresh []*standin.Proxy
 	for _, p := range paths {
@@ -412,7 +415,7 @@
 		}
 	}
 	in.mu.Unlock()
-	atOnce(fresh, begin)
+	in.atOnce(fresh, begin)
 	time.Sleep(d)
 	in.mu.Lock()
 	var last []*standin.Proxy
@@ -423,31 +426,38 @@
 		}
 	}
 	in.mu.Unlock()
-	atOnce(last, end)
+	in.atOnce(last, end)
 }
 
-// atOnce does something to all of some proxies side by side.
-func atOnce(proxies []*standin.Proxy, do func(*standin.Proxy)) {
+// atOnce does something to all of some proxies side by side. What fails is a fault of the soak's own.
+func (in *injector) atOnce(proxies []*standin.Proxy, do func(*standin.Proxy) error) {
 	var work sync.WaitGroup
 	for _, p := range proxies {
-		work.Go(func() { do(p) })
+		work.Go(func() {
+			if err := do(p); err != nil && !errors.Is(err, net.ErrClosed) {
+				in.mu.Lock()
+				in.broken = err
+				in.mu.Unlock()
+			}
+		})
 	}
 	work.Wait()
 }
 
 func (in *injector) beSilent(paths []*standin.Proxy, d time.Duration) {
-	in.hold(in.silent, paths, d, func(p *standin.Proxy) { p.Silence() }, (*standin.Proxy).Resume)
+	in.hold(in.silent, paths, d, (*standin.Proxy).Silence, (*standin.Proxy).Resume)
 }
 
 func (in *injector) slowDials(random *rand.Rand) {
 	late := between(random, millis(20), millis(200))
 	in.hold(in.slow, in.somePaths(random, 1, 0.5), between(random, millis(1000), millis(4000)),
-		func(p *standin.Proxy) { p.SlowStart(late) }, func(p *standin.Proxy) { p.SlowStart(0) })
+		func(p *standin.Proxy) error { p.SlowStart(late); return nil },
+		func(p *standin.Proxy) error { p.SlowStart(0); return nil })
 }
 
 func (in *injector) stalledDials(random *rand.Rand) {
 	in.hold(in.stalled, in.somePaths(random, 0.5, 0.4), between(random, millis(300), millis(3000)),
-		func(p *standin.Proxy) { p.StallDials() }, (*standin.Proxy).LetDials)
+		(*standin.Proxy).StallDials, (*standin.Proxy).LetDials)
 }
 
 // retire picks an engine that may go, and holds the others; nil if its role would run short.
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -80,6 +80,9 @@
 		return nil, err
 	}
 	endAll(w, in)
+	if in.broken != nil {
+		return nil, fmt.Errorf("a fault could not be injected: %w", in.broken)
+	}
 	e := &evidence{began: began, routers: o.Routers, classes: w.opts.classes, figures: w.opts.figures, asks: log.list, bad: log.bad,
 		record: w.Cluster.Record(), starts: w.starts, failed: in.failed, lags: lags(), slack: o.Slack}
 	for _, r := range w.Routers {
--- a/internal/standin/chat/proxy.go
+++ b/internal/standin/chat/proxy.go
@@ -17,6 +17,7 @@
 	router   int
 	listener *net.TCPListener
 	work     sync.WaitGroup
+	ended    chan struct{} // closed when the listener is
 
 	mu       sync.Mutex
 	links    map[*link]struct{}
@@ -24,6 +25,7 @@
 	silences []Span
 	slow     time.Duration // a new connection carries nothing for so long
 	gate     chan struct{} // closed while connections are accepted
+	parked   chan struct{} // is closed when nobody accepts any more; nil: that is not waited for
 	struck   map[string]int
 	closed   bool
 
@@ -53,7 +55,7 @@
 		return nil, fmt.Errorf("proxy: %w", err)
 	}
 	p := &Proxy{cluster: cluster, engine: engine, router: router, listener: l.(*net.TCPListener), links: map[*link]struct{}{},
-		gate: make(chan struct{}), struck: map[string]int{}}
+		gate: make(chan struct{}), ended: make(chan struct{}), struck: map[string]int{}}
 	close(p.gate)
 	p.work.Add(1)
 	go p.accept()
@@ -71,11 +73,15 @@
 		c.Close()
 	}
 	p.fillers = nil
-	p.stall.Unlock()
 	p.mu.Lock()
 	p.closed = true
-	p.openGate()
+	select {
+	case <-p.gate:
+	default:
+		close(p.gate)
+	}
 	p.mu.Unlock()
+	p.stall.Unlock()
 	p.Reset()
 	p.work.Wait()
 }
@@ -111,7 +117,7 @@
 }
 
 // Resume ends a silence: connections on which something was dropped are reset, all others go on.
-func (p *Proxy) Resume() {
+func (p *Proxy) Resume() error {
 	p.mu.Lock()
 	p.silent = false
 	p.silences[len(p.silences)-1].Until = time.Now()
@@ -121,7 +127,7 @@
 		}
 	}
 	p.mu.Unlock()
-	p.LetDials()
+	return p.LetDials()
 }
 
 // Silences returns the times in which nothing was carried.
@@ -141,75 +147,78 @@
 // Times of stalled dials.
 const (
 	fillWithin   = 20 * time.Millisecond // a dial on loopback that takes longer finds the queue full
-	mostFill     = 8
+	takeWithin   = 5 * time.Millisecond  // a connection that waits in the queue is accepted within this
+	mostFill     = 64
 	usualBacklog = 128
 )
 
-// StallDials keeps dials from coming up until LetDials was called as often: the kernel's queue of the listener is filled.
+// StallDials keeps dials from coming up until LetDials was called as often: nobody accepts, and the kernel's queue of the
+// listener is full of connections that this proxy has made itself.
 func (p *Proxy) StallDials() error {
 	p.stall.Lock()
 	defer p.stall.Unlock()
 	if p.stalls++; p.stalls > 1 {
 		return nil
 	}
-	p.mu.Lock()
-	p.gate = make(chan struct{})
-	p.struck["dials stalled"]++
-	p.mu.Unlock()
+	p.park()
 	if err := p.backlog(0); err != nil {
 		return err
 	}
-	// A connection may be accepted yet by a call that was under way, so the queue has to be found full twice.
-	for n, full := 0, 0; n < mostFill && full < 2; n++ {
+	for range mostFill {
 		c, err := net.DialTimeout("tcp", p.Addr(), fillWithin)
-		if err != nil {
-			full++
-			continue
+		switch {
+		case err == nil:
+			p.fillers = append(p.fillers, c)
+		case len(p.fillers) > 0:
+			return nil // it is full
+		default: // of others, who have come before
+			p.takeOne()
 		}
-		full = 0
-		p.fillers = append(p.fillers, c)
 	}
-	return nil
+	return errors.New("proxy: the queue of a listener can't be filled")
 }
 
 // LetDials ends StallDials.
-func (p *Proxy) LetDials() {
+func (p *Proxy) LetDials() error {
 	p.stall.Lock()
 	defer p.stall.Unlock()
 	if p.stalls--; p.stalls > 0 {
-		return
+		return nil
 	}
 	for _, c := range p.fillers {
 		c.Close()
 	}
 	p.fillers = nil
-	p.resetQueue()
-	p.backlog(usualBacklog)
+	err := p.backlog(usualBacklog)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.openGate()
+	if !p.closed {
+		close(p.gate)
+	}
+	return err
 }
 
-// resetQueue resets the connections that wait in the kernel's queue. stall is held, and nobody accepts.
-func (p *Proxy) resetQueue() {
-	const within = 2 * time.Millisecond
-	p.listener.SetDeadline(time.Now().Add(within))
-	defer p.listener.SetDeadline(time.Time{})
-	for {
-		c, err := p.listener.AcceptTCP()
-		if err != nil {
-			return
-		}
-		reset(c)
+// park waits until nobody accepts.
+func (p *Proxy) park() {
+	p.mu.Lock()
+	p.gate, p.parked = make(chan struct{}), make(chan struct{})
+	parked := p.parked
+	p.struck["dials stalled"]++
+	p.mu.Unlock()
+	p.listener.SetDeadline(time.Unix(1, 0))
+	select {
+	case <-parked:
+	case <-p.ended:
 	}
+	p.listener.SetDeadline(time.Time{})
 }
 
-// openGate lets connections be accepted. mu is held.
-func (p *Proxy) openGate() {
-	select {
-	case <-p.gate:
-	default:
-		close(p.gate)
+// takeOne accepts a connection that waits in the queue, while nobody else does.
+func (p *Proxy) takeOne() {
+	p.listener.SetDeadline(time.Now().Add(takeWithin))
+	defer p.listener.SetDeadline(time.Time{})
+	if c, err := p.listener.AcceptTCP(); err == nil {
+		p.serve(c)
 	}
 }
 
@@ -228,26 +237,35 @@
 
 func (p *Proxy) accept() {
 	defer p.work.Done()
+	defer close(p.ended)
 	for {
 		p.mu.Lock()
-		gate := p.gate
+		gate, parked := p.gate, p.parked
+		p.parked = nil
 		p.mu.Unlock()
+		if parked != nil {
+			close(parked)
+		}
 		<-gate
 		c, err := p.listener.AcceptTCP()
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
 		if err != nil {
-			continue // the client has left the queue, or the queue is being reset
+			continue // the client has left the queue, or nobody is to accept
 		}
-		p.work.Add(1)
-		go func() {
-			defer p.work.Done()
-			p.carry(c)
-		}()
+		p.serve(c)
 	}
 }
 
+func (p *Proxy) serve(c *net.TCPConn) {
+	p.work.Add(1)
+	go func() {
+		defer p.work.Done()
+		p.carry(c)
+	}()
+}
+
 // carry joins a router's connection to one to the engine.
 func (p *Proxy) carry(router *net.TCPConn) {
 	defer router.Close()
--- a/internal/standin/chat/proxy_test.go
+++ b/internal/standin/chat/proxy_test.go
@@ -54,7 +54,11 @@
 				}
 			}
 		})
-		each((*Proxy).Resume)
+		each(func(p *Proxy) {
+			if err := p.Resume(); err != nil {
+				t.Error(err)
+			}
+		})
 		each(func(p *Proxy) {
 			if !comesUp(p) {
 				t.Error("no dial comes up after the silence")
