Answers that the network loses stop no clock of what is held, at writers either

Every wait has its server asked for a sign, twice at most; the last call that lets go comes after the engine was heard. The soak judges cold engines by what they can do.

--- a/cmd/mintdoor/soak.go
+++ b/cmd/mintdoor/soak.go
@@ -56,7 +56,7 @@
 	f.IntVar(&o.Readers, "readers", 8, "engines that read")
 	f.IntVar(&o.Writers, "writers", 10, "engines that write")
 	f.DurationVar(&o.Length, "length", time.Minute, "time in which faults strike")
-	f.Float64Var(&o.Rate, "rate", 8, "requests a second of one router, in the mean")
+	f.Float64Var(&o.Rate, "rate", 4, "requests a second of one router, in the mean")
 	f.DurationVar(&o.Every, "every", 150*time.Millisecond, "time between two faults, in the mean")
 	f.DurationVar(&o.Slack, "slack", 0, "added to every time that is allowed, on a machine that is too slow")
 	f.StringVar(&o.Logs, "logs", "", "folder that keeps the routers' logs")
--- a/decide/liveness.go
+++ b/decide/liveness.go
@@ -1,9 +1,6 @@
 package decide
 
-import (
-	"math"
-	"slices"
-)
+import "slices"
 
 // Waits without a sign. What is held for a request may be held for a time, which rests only while an attempt
 // is out; and a send that the network has dropped is not out. A read may have ended, too, though its answer
@@ -21,8 +18,6 @@
 // mostAsked bounds what an attempt may cost: a server that hangs and can be reached is not asked for ever.
 const mostAsked = 2
 
-const never Time = math.MaxInt64
-
 // heldUntil is the last instant at which what is held since a time may be let go.
 func (r *Router) heldUntil(since Time) Time { return since + r.set.LetGoWithin + holdSlack }
 
@@ -30,17 +25,13 @@
 // had left, be it after a dial.
 func (r *Router) arrived(q *request) bool { return q.out.heardAt > q.sentAt+r.set.DialTimeout }
 
-// signBy is when the server of the attempt that is out has to have given its next sign; never if it need
-// give none.
+// signBy is when the server of the attempt that is out has to have given its next sign.
 func (r *Router) signBy(q *request) Time {
-	switch {
-	case q.mayHold && !r.arrived(q):
+	if q.mayHold && !r.arrived(q) {
 		return r.heldUntil(q.heldAt)
-	case q.stage == reading:
-		// It may have ended since, and its answer be lost.
-		return r.heldUntil(max(q.sentAt, q.out.heardAt))
 	}
-	return never
+	// It may have ended since, and its answer be lost.
+	return r.heldUntil(max(q.sentAt, q.out.heardAt))
 }
 
 // seeks tells whether signs are looked for. Where they are not, every attempt counts as out.
@@ -84,11 +75,10 @@
 	}
 }
 
-// isUnsure tells whether an attempt is out whose server has to give a sign yet.
+// isUnsure tells whether an attempt is out that has not begun to answer.
 func (r *Router) isUnsure(u unsure) bool {
 	q := u.request
-	out := !q.closed && q.out != nil && q.stage != streaming && q.attempts-1 == u.attempt
-	return out && r.signBy(q) < never
+	return !q.closed && q.out != nil && q.stage != streaming && q.attempts-1 == u.attempt
 }
 
 // reached takes in whether a server can be reached. The attempts that wait at one that can't are called off.
--- a/internal/engine/chat/chat.go
+++ b/internal/engine/chat/chat.go
@@ -35,9 +35,9 @@
 	firstTry   = 150 * time.Millisecond // of a call that must be heard, at one engine
 	// hedgeAfter is how long an engine has to take a release before another is asked too, maxHedged how many are asked at
 	// a time, and hedgePause lies between two rounds over all engines.
-	hedgeAfter  = 50 * time.Millisecond
+	hedgeAfter  = 30 * time.Millisecond
 	hedgePause  = 15 * time.Millisecond
-	maxHedged   = 3
+	maxHedged   = 6
 	readEnds    = 30 * time.Millisecond // a read that was given up ends within this time, or has ended well
 	maxCallOffs = 8                     // calls for one read that was given up, while its engine is not heard
 	expireEvery = time.Second
--- a/internal/engine/chat/release.go
+++ b/internal/engine/chat/release.go
@@ -38,9 +38,9 @@
 	return err
 }
 
-// CallOffUnheard lets go of what a read may leave that was given up at some time, until its engine was heard since: by then it
-// has seen the end of the read's connection.
-func (c *Client) CallOffUnheard(ctx context.Context, addr, request string, since time.Time) error {
+// CallOffLater lets go of what a read may leave that was given up at some time, until its engine was heard since: by then it
+// has seen the end of the read's connection, and nothing comes after that call.
+func (c *Client) CallOffLater(ctx context.Context, addr, request string, since time.Time) error {
 	var err error
 	for range maxCallOffs {
 		select {
@@ -48,10 +48,10 @@
 			return err
 		case <-time.After(c.opts.CallOffAgain):
 		}
-		if c.heardSince(addr, since) {
-			return nil
+		heard := c.heardSince(addr, since)
+		if err = c.letGo(ctx, addr, request); heard {
+			break
 		}
-		err = c.letGo(ctx, addr, request)
 	}
 	return err
 }
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -389,8 +389,8 @@
 	return c.insist(ctx, http.MethodDelete, addr, RequestPath+url.PathEscape(request))
 }
 
-// CallOffUnheard does nothing: CallOff names the read, and is made when it is given up.
-func (c *Client) CallOffUnheard(context.Context, string, string, time.Time) error { return nil }
+// CallOffLater does nothing: CallOff names the read, and is made when it is given up.
+func (c *Client) CallOffLater(context.Context, string, string, time.Time) error { return nil }
 
 // GiveUpPlace lets go of a place held ahead.
 func (c *Client) GiveUpPlace(ctx context.Context, addr, request string) error {
--- a/internal/router/holds.go
+++ b/internal/router/holds.go
@@ -146,7 +146,7 @@
 func (k byRequest) stillLost(f *flight, reads []lostRead) {
 	for _, l := range reads {
 		k.r.aside(notCalledOff, f.name, l.addr, func() error {
-			return k.r.cfg.Engines.CallOffUnheard(k.r.workCtx, l.addr, f.name, l.at)
+			return k.r.cfg.Engines.CallOffLater(k.r.workCtx, l.addr, f.name, l.at)
 		})
 	}
 }
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -83,7 +83,7 @@
 	if in.broken != nil {
 		return nil, fmt.Errorf("a fault could not be injected: %w", in.broken)
 	}
-	e := &evidence{began: began, routers: o.Routers, classes: w.opts.classes, figures: w.opts.figures, asks: log.list, bad: log.bad,
+	e := &evidence{began: began, routers: o.Routers, classes: w.opts.classes, figures: w.opts.figures, work: w.opts.Work, asks: log.list, bad: log.bad,
 		record: w.Cluster.Record(), starts: w.starts, failed: in.failed, lags: lags(), slack: o.Slack}
 	for _, r := range w.Routers {
 		e.lives = append(e.lives, r.Lives())
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -84,6 +84,12 @@
 	return w, nil
 }
 
+// Requests that an engine does at once.
+const (
+	readerSlots = 8
+	writerSlots = 24
+)
+
 // hosts of the routers and of the proxies, by the router's number.
 func routerHost(i int) string { return fmt.Sprintf("127.20.%d.%d", i>>8, i&0xff) }
 func proxyHost(i int) string  { return fmt.Sprintf("127.40.%d.%d", i>>8, i&0xff) }
@@ -170,7 +176,11 @@
 	}
 	id := fmt.Sprintf("%s%d", prefix, w.serial)
 	w.mu.Unlock()
-	e, err := standin.NewEngine(standin.EngineOptions{ID: id, Writer: writer, Cluster: w.Cluster, Work: w.opts.Work,
+	slots := readerSlots
+	if writer {
+		slots = writerSlots
+	}
+	e, err := standin.NewEngine(standin.EngineOptions{ID: id, Writer: writer, Cluster: w.Cluster, Work: w.opts.Work, Slots: slots,
 		Seed: w.opts.Seed + uint64(w.serial)})
 	if err != nil {
 		return nil, err
