--- a/internal/engine/chat/chat.go
+++ b/internal/engine/chat/chat.go
@@ -10,6 +10,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"log/slog"
 	"sync"
 	"time"
 
@@ -62,6 +63,7 @@
 	ReleaseWithin time.Duration
 	CallOffAgain  time.Duration // after a read was called off it is called off once more
 	ProbeWithin   time.Duration
+	Log           *slog.Logger // nil: none
 }
 
 // Client speaks to all engines; a router.Engines. It is safe for concurrent use.
@@ -77,6 +79,9 @@
 
 // New returns a client. Run looks after its idle connections.
 func New(opts Options) *Client {
+	if opts.Log == nil {
+		opts.Log = slog.New(slog.DiscardHandler)
+	}
 	return &Client{opts: opts, readEnds: readEnds, restFor: restFor, firstTry: firstTry,
 		closeArrives: closeArrives, heard: map[string]time.Time{}, pool: &pool{dialTimeout: opts.DialTimeout,
 			keep: opts.ConnIdle, standsAfter: standsAfter, most: opts.MaxConns, spare: opts.SpareConns}}
--- a/internal/engine/chat/exchange.go
+++ b/internal/engine/chat/exchange.go
@@ -119,6 +119,9 @@
 		return err
 	}
 	conn := x.conn
+	if q.gate != nil {
+		q.gate.Connected(conn.uses)
+	}
 	x.stop = context.AfterFunc(x.ctx, func() { conn.Close() }) // closing is how an attempt is given up
 	head := make([]byte, 0, 256)
 	head = append(head, q.method+" "+q.target+" HTTP/1.1\r\nHost: "+addr+"\r\n"...)
--- a/internal/engine/chat/release.go
+++ b/internal/engine/chat/release.go
@@ -76,7 +76,12 @@
 // engines, one after the other, would use up (a zone that is cut off).
 func (c *Client) letGo(ctx context.Context, addr, request string) error {
 	ctx, cancel := context.WithTimeout(ctx, c.opts.ReleaseWithin)
-	results := make(chan error)
+	began, first := time.Now(), addr
+	type result struct {
+		addr string
+		err  error
+	}
+	results := make(chan result)
 	pending := 0
 	defer func() {
 		cancel()
@@ -92,12 +97,14 @@
 		select {
 		case <-ctx.Done():
 			return fmt.Errorf("DELETE %s%s: %w", platform.HoldsPath, request, errors.Join(last, ctx.Err()))
-		case err := <-results:
+		case res := <-results:
 			pending--
-			if err == nil {
+			if res.err == nil {
+				c.opts.Log.Info("let go", "request", request, "asked first", first, "taken by", res.addr, "engines asked", len(tried),
+					"after", time.Since(began))
 				return nil
 			}
-			last = err
+			last = res.err
 			hedge.Reset(0)
 		case <-hedge.C:
 			if pending == maxHedged {
@@ -109,7 +116,7 @@
 			} else {
 				tried[addr] = true
 				pending++
-				go func(addr string) { results <- c.release(ctx, addr, request) }(addr)
+				go func(addr string) { results <- result{addr, c.release(ctx, addr, request)} }(addr)
 				hedge.Reset(hedgeAfter)
 			}
 			addr = c.other(tried)
--- a/internal/engine/wire.go
+++ b/internal/engine/wire.go
@@ -230,8 +230,10 @@
 }
 
 // Gate has the last word on an attempt. What writes the attempt's request asks it immediately before the last byte, and
-// tells it immediately after, both with the time that the engine is told; 0 where it is told none.
+// tells it immediately after, both with the time that the engine is told; 0 where it is told none. Connected tells it of the
+// connection, and of how many exchanges that has carried before.
 type Gate interface {
+	Connected(uses int)
 	MaySend(told time.Duration) error
 	Sent(told time.Duration)
 }
--- a/internal/guard/attempt.go
+++ b/internal/guard/attempt.go
@@ -52,6 +52,15 @@
 	return err
 }
 
+// Connected notes that the attempt has a connection to its engine, which has carried some exchanges before.
+func (a *Attempt) Connected(uses int) {
+	detail := "new"
+	if uses > 0 {
+		detail = "used " + strconv.Itoa(uses)
+	}
+	a.request.record(stepConnected, strconv.Itoa(a.Number), detail)
+}
+
 // staleSlack is how much more time than is left an engine may be told when the last byte leaves: what a write usually takes.
 const staleSlack = 10 * time.Millisecond
 
@@ -69,6 +78,7 @@
 	cleared, current, left, deadline := a.cleared, r.current, r.left, r.waits
 	notAfter, decided := a.limits.NotAfter, r.decided
 	r.mu.Unlock()
+	r.record(stepSent, strconv.Itoa(a.Number), "")
 	if cleared.IsZero() {
 		r.guard.violated(UnguardedSend, r, "")
 		return
--- a/internal/guard/trail.go
+++ b/internal/guard/trail.go
@@ -13,6 +13,8 @@
 	stepComplete
 	stepAccepted
 	stepAttempt
+	stepConnected
+	stepSent
 	stepDenied
 	stepAttemptEnded
 	stepFirstToken
@@ -24,6 +26,7 @@
 
 var stepNames = [...]string{
 	stepReceived: "received", stepComplete: "complete", stepAccepted: "accepted", stepAttempt: "attempt",
+	stepConnected: "connected", stepSent: "sent",
 	stepDenied:       "denied",
 	stepAttemptEnded: "attempt-ended", stepFirstToken: "first-token", stepClientLeft: "client-left",
 	stepDecided: "decided", stepAnswered: "answered", stepClosed: "closed",
@@ -40,7 +43,7 @@
 }
 
 // maxTrail bounds the events that a trail keeps.
-const maxTrail = 32
+const maxTrail = 64
 
 // trail is what happened to a request. When it is full, the event before the last gives way to the newest one.
 type trail struct {
--- a/internal/router/actions.go
+++ b/internal/router/actions.go
@@ -255,6 +255,9 @@
 		defer r.work.Done()
 		began := time.Now()
 		res := r.cfg.Engines.Probe(r.workCtx, s.addr, fresh)
+		if fresh {
+			r.log.Info("engine checked", "engine", s.name, "outcome", outcomeName(res.Outcome), "after", time.Since(began))
+		}
 		r.post(message{kind: probed, server: id, fresh: fresh, res: res, spent: time.Since(began)})
 	}()
 }
--- a/internal/router/loop.go
+++ b/internal/router/loop.go
@@ -17,6 +17,7 @@
 // message is something that has happened, on its way to the loop.
 type message struct {
 	kind   messageKind
+	posted time.Time
 	q      *Request         // arrived, clientLeft
 	a      *attempt         // firstToken, attemptEnded
 	res    engine.Result    // attemptEnded, probed
@@ -44,6 +45,10 @@
 	shuttingDown
 )
 
+func (k messageKind) String() string {
+	return [...]string{"arrived", "client left", "first token", "attempt ended", "list", "probe", "place", "shutting down"}[k]
+}
+
 // Run runs the loop until ctx ends, or until Drain was called and no request is open. Whatever is open
 // then gets its answer, attempts are called off and what is held at engines is let go. It returns nil.
 func (r *Router) Run(ctx context.Context) error {
@@ -138,8 +143,21 @@
 	r.tell(&decide.Event{Kind: decide.ClientGone, Request: f.id, Report: engine.Untold()}, f)
 }
 
-// take turns a message into the module's event.
+// Of a message that has waited for the loop for lateAfter, or has taken it as long, a line is logged.
+const lateAfter = 50 * time.Millisecond
+
+// take handles a message, and tells when the loop is late.
 func (r *Router) take(m *message) {
+	began := time.Now()
+	r.takeIn(m)
+	waited, took := began.Sub(m.posted), time.Since(began)
+	if waited > lateAfter || took > lateAfter {
+		r.log.Warn("loop late", "message", m.kind.String(), "waited", waited, "took", took, "behind", len(r.mail))
+	}
+}
+
+// takeIn turns a message into the module's event.
+func (r *Router) takeIn(m *message) {
 	switch m.kind {
 	case arrived:
 		r.arrive(m.q)
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -284,6 +284,7 @@
 
 // post hands a message to the loop and reports whether it was taken.
 func (r *Router) post(m message) bool {
+	m.posted = time.Now()
 	select {
 	case <-r.quit:
 		return false
