--- a/cmd/mintdoor/soak.go
+++ b/cmd/mintdoor/soak.go
@@ -59,6 +59,7 @@
 	f.Float64Var(&o.Rate, "rate", 4, "requests a second of one router, in the mean")
 	f.DurationVar(&o.Every, "every", 150*time.Millisecond, "time between two faults, in the mean")
 	f.DurationVar(&o.Slack, "slack", 0, "added to every time that is allowed, on a machine that is too slow")
+	f.Float64Var(&o.Share, "share", 0, "part of a core that each router has; 0: a whole one")
 	f.StringVar(&o.Logs, "logs", "", "folder that keeps the routers' logs")
 	return c
 }
--- a/internal/soak/evidence.go
+++ b/internal/soak/evidence.go
@@ -11,23 +11,25 @@
 
 // evidence is all that was seen of a run.
 type evidence struct {
-	began    time.Time
-	routers  int
-	classes  []class
-	figures  figures
-	work     standin.Work
-	asks     []*ask
-	bad      []badClient
-	record   *standin.Record
-	lives    [][]Life                      // by router
-	told     []map[string]time.Time        // by router and engine: since when it was told that the engine takes nothing new
-	starts   map[string]time.Time          // of engines that were started cold
-	paths    []map[string]*path            // by router and engine
-	lags     []Stop                        // times in which the soak itself did not run
-	failed   []string                      // starts of routers that failed
-	slack    time.Duration                 // for a machine that is too slow
-	attempts map[string][]*standin.Attempt // by request, in their order
-	byID     map[string]*ask
+	began   time.Time
+	routers int
+	classes []class
+	figures figures
+	work    standin.Work
+	// readerSlots and writerSlots are how many requests an engine of a role does at once.
+	readerSlots, writerSlots int
+	asks                     []*ask
+	bad                      []badClient
+	record                   *standin.Record
+	lives                    [][]Life                      // by router
+	told                     []map[string]time.Time        // by router and engine: since when it was told that the engine takes nothing new
+	starts                   map[string]time.Time          // of engines that were started cold
+	paths                    []map[string]*path            // by router and engine
+	lags                     []Stop                        // times in which the soak itself did not run
+	failed                   []string                      // starts of routers that failed
+	slack                    time.Duration                 // for a machine that is too slow
+	attempts                 map[string][]*standin.Attempt // by request, in their order
+	byID                     map[string]*ask
 }
 
 func (e *evidence) index() {
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -27,6 +27,7 @@
 	{"SIGHUP", 6, (*injector).reload},
 	{"cut", 6, (*injector).cut},
 	{"silence", 8, (*injector).silence},
+	{"connections forgotten", 5, (*injector).forget},
 	{"role silent", 2, (*injector).silentRole},
 	{"slow dials", 5, (*injector).slowDials},
 	{"dials that do not come up", 5, (*injector).stalledDials},
@@ -34,6 +35,8 @@
 	{"engines fail", 8, (*injector).sicken},
 	{"engine dies", 4, (*injector).die},
 	{"engine drains", 6, (*injector).drain},
+	{"release", 1, (*injector).release},
+	{"engines vanish", 3, (*injector).vanish},
 	{"discovery down", 4, (*injector).discoveryDown},
 	{"watches silent", 4, (*injector).silentWatches},
 	{"watches reset", 4, (*injector).resetWatches},
@@ -51,6 +54,7 @@
 	ready   time.Duration // within which a router has to be ready
 
 	mu      sync.Mutex
+	large   bool // a fault of many engines is under way
 	struck  map[string]int
 	busy    map[int]bool // routers whose process ends or starts
 	sick    map[string][]*standin.Behaviour
--- a/internal/soak/faults_engines.go
+++ b/internal/soak/faults_engines.go
@@ -77,9 +77,11 @@
 	release()
 }
 
+// leastOfRole is how many engines of a role stay.
+const leastOfRole = 3
+
 // retire picks an engine that may go, and holds the others; nil if its role would run short.
 func (in *injector) retire(random *rand.Rand) *standin.Engine {
-	const leastOfRole = 3
 	all := in.world.Engines()
 	e := all[random.IntN(len(all))]
 	if in.world.Ready(e.Writer()) <= leastOfRole || !in.world.Claim(e.ID()) {
@@ -90,7 +92,7 @@
 
 // replace starts a new engine in the place of one that has gone.
 func (in *injector) replace(writer bool) {
-	if _, err := in.world.AddEngine(writer, time.Now().UnixMilli()); err == nil {
+	if err := in.world.AddEngines(1, writer, time.Now().UnixMilli()); err == nil {
 		in.count("engines started cold", 1)
 	}
 }
--- a/internal/soak/faults_network.go
+++ b/internal/soak/faults_network.go
@@ -9,18 +9,24 @@
 	standin "mintdoor/internal/standin/chat"
 )
 
+// someGroups picks a part of the networks, one at least.
+func (in *injector) someGroups(random *rand.Rand, most float64) []*group {
+	all := append([]*group(nil), in.world.groups...)
+	random.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+	n := 1 + random.IntN(max(int(most*float64(len(all))), 1))
+	return all[:min(n, len(all))]
+}
+
 // somePaths picks proxies between some routers and some engines.
 func (in *injector) somePaths(random *rand.Rand, routers, engines float64) []*standin.Proxy {
 	var out []*standin.Proxy
-	chosen := in.someEngines(random, engines)
+	chosen := in.someGroups(random, engines)
 	for i := range in.world.Routers {
 		if random.Float64() >= routers {
 			continue
 		}
-		for _, e := range chosen {
-			if p := in.world.Proxy(i, e.ID()); p != nil {
-				out = append(out, p)
-			}
+		for _, g := range chosen {
+			out = append(out, g.proxies[i])
 		}
 	}
 	return out
@@ -36,18 +42,20 @@
 	in.beSilent(in.somePaths(random, 0.2+0.8*random.Float64(), 0.4), between(random, millis(300), millis(4000)))
 }
 
+// forget makes connections that stand silent for good, with no error; new ones are not concerned.
+func (in *injector) forget(random *rand.Rand) {
+	for _, p := range in.somePaths(random, 0.2+0.8*random.Float64(), 0.5) {
+		p.Forget()
+	}
+}
+
 // silentRole has most engines of a role fall silent together.
 func (in *injector) silentRole(random *rand.Rand) {
 	writers := random.IntN(2) == 0
 	var paths []*standin.Proxy
-	for _, e := range in.world.Engines() {
-		if e.Writer() != writers || random.IntN(5) == 0 {
-			continue
-		}
-		for i := range in.world.Routers {
-			if p := in.world.Proxy(i, e.ID()); p != nil {
-				paths = append(paths, p)
-			}
+	for _, g := range in.world.groups {
+		if g.writers == writers && random.IntN(5) > 0 {
+			paths = append(paths, g.proxies...)
 		}
 	}
 	in.beSilent(paths, between(random, millis(500), millis(1500)))
--- a/internal/soak/judge_test.go
+++ b/internal/soak/judge_test.go
@@ -21,7 +21,8 @@
 		Outcome: standin.Read, Ended: after(100)}
 	write := standin.Attempt{Request: "q", Engine: "d", Writer: true, FirstByte: after(101), LastByte: after(103), Arrived: after(103),
 		TimeLeft: time.Second, Events: []time.Time{after(199), after(299)}, Outcome: standin.Streamed, Ended: after(399)}
-	return &evidence{began: began, routers: 1, classes: defaultClasses(), figures: defaultFigures(), work: usualWork, asks: []*ask{a},
+	return &evidence{began: began, routers: 1, classes: defaultClasses(), figures: defaultFigures(), work: usualWork,
+		readerSlots: readerSlots, writerSlots: writerSlots, asks: []*ask{a},
 		record: &standin.Record{Attempts: []standin.Attempt{read, write},
 			Holds: []standin.Hold{{Request: "q", Engine: "p", From: after(100), Until: after(198)}}},
 		lives: [][]Life{{{Started: after(-1000), Ready: after(-500), Terminated: after(5000), Exited: after(6000)}}},
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -27,6 +27,8 @@
 	Every   time.Duration // between two faults, in the mean
 	// Slack is added to every time that the invariants allow, for a machine that is too slow for the run.
 	Slack time.Duration
+	// Share is the part of a core that each router has; 0 is a whole one.
+	Share float64
 	Log   *slog.Logger
 	Out   io.Writer // progress for people; nil: none
 }
@@ -65,6 +67,11 @@
 	log := &askLog{}
 	t := newTraffic(w, f, log, o.Rate*float64(o.Routers), o.Seed)
 	in := newInjector(w, t, f)
+	if o.Share > 0 {
+		throttled, endThrottle := context.WithCancel(ctx)
+		defer endThrottle()
+		w.throttle(throttled, o.Share)
+	}
 	began := time.Now()
 	trafficCtx, endTraffic := context.WithCancel(ctx)
 	defer endTraffic()
@@ -83,7 +90,8 @@
 	if in.broken != nil {
 		return nil, fmt.Errorf("a fault could not be injected: %w", in.broken)
 	}
-	e := &evidence{began: began, routers: o.Routers, classes: w.opts.classes, figures: w.opts.figures, work: w.opts.Work, asks: log.list, bad: log.bad,
+	e := &evidence{began: began, routers: o.Routers, classes: w.opts.classes, figures: w.opts.figures, work: w.opts.Work,
+		readerSlots: w.opts.slots(false), writerSlots: w.opts.slots(true), asks: log.list, bad: log.bad,
 		record: w.Cluster.Record(), starts: w.starts, failed: in.failed, lags: lags(), slack: o.Slack}
 	for _, r := range w.Routers {
 		e.lives = append(e.lives, r.Lives())
@@ -191,8 +199,10 @@
 	for _, e := range in.world.all {
 		add(e.Struck())
 	}
-	for _, p := range in.world.allProxies {
-		add(p.Struck())
+	for _, g := range in.world.groups {
+		for _, p := range g.proxies {
+			add(p.Struck())
+		}
 	}
 	for _, of := range in.world.agents {
 		for _, a := range of {
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -1,6 +1,6 @@
 // Package soak runs real router processes of the platform under random, overlapping faults and judges them from outside:
 // by what their clients, their engines and discovery have seen. Engines, discovery and the network are stand-ins on
-// loopback; every router reaches every engine through a proxy of its own.
+// loopback; every router reaches the engines through proxies of its own, each for a group of engines on one network.
 package soak
 
 import (
@@ -39,24 +39,31 @@
 	Directory *standin.Directory
 	Routers   []*Router
 
-	mu         sync.Mutex
-	engines    map[string]*standin.Engine
-	members    map[string]watch.Member
-	claimed    map[string]bool         // engines that are on their way out
-	all        []*standin.Engine       // that ever ran
-	allProxies map[link]*standin.Proxy // that ever were
-	starts     map[string]time.Time    // of engines that started cold
-	proxies    map[link]*standin.Proxy
-	agents     map[int][]*standin.Agent // all that there were, by router
-	serial     int
+	machines *standin.Machines
+
+	mu      sync.Mutex
+	engines map[string]*standin.Engine
+	members map[string]watch.Member
+	claimed map[string]bool      // engines that are on their way out
+	all     []*standin.Engine    // that ever ran
+	starts  map[string]time.Time // of engines that started cold
+	groups  []*group
+	groupOf map[string]*group        // by engine
+	agents  map[int][]*standin.Agent // all that there were, by router
+	serial  int
+	closed  bool
 }
 
-// link names a proxy.
-type link struct {
-	router int
-	engine string
+// group is engines of one role on one network: faults between routers and engines strike all of them alike.
+type group struct {
+	writers bool
+	proxies []*standin.Proxy // by router
+	size    int              // engines that run
 }
 
+// maxGroups bounds the groups of a role: each costs every router a listener.
+const maxGroups = 20
+
 // NewWorld builds a world. Its routers are not started.
 func NewWorld(o WorldOptions) (*World, error) {
 	if o.classes == nil {
@@ -65,34 +72,83 @@
 	if o.figures == (figures{}) {
 		o.figures = defaultFigures()
 	}
-	w := &World{opts: o, Cluster: standin.NewCluster(), Directory: standin.NewDirectory(), engines: map[string]*standin.Engine{},
-		members: map[string]watch.Member{}, claimed: map[string]bool{}, allProxies: map[link]*standin.Proxy{}, starts: map[string]time.Time{}, agents: map[int][]*standin.Agent{}, proxies: map[link]*standin.Proxy{}}
-	for i := range o.Routers {
+	machines, err := standin.NewMachines()
+	if err != nil {
+		return nil, err
+	}
+	w := &World{opts: o, Cluster: standin.NewCluster(), Directory: standin.NewDirectory(), machines: machines,
+		engines: map[string]*standin.Engine{}, members: map[string]watch.Member{}, claimed: map[string]bool{},
+		starts: map[string]time.Time{}, agents: map[int][]*standin.Agent{}, groupOf: map[string]*group{}}
+	if err := w.build(); err != nil {
+		w.Close()
+		return nil, err
+	}
+	return w, nil
+}
+
+// build makes the networks, the routers' places and the engines.
+func (w *World) build() error {
+	for i := range w.opts.Routers {
 		r, err := w.newRouter(i)
 		if err != nil {
-			w.Close()
-			return nil, err
+			return err
 		}
 		w.Routers = append(w.Routers, r)
 	}
-	for i := range o.Readers + o.Writers {
-		if _, err := w.AddEngine(i >= o.Readers, 0); err != nil {
-			w.Close()
-			return nil, err
+	if err := w.addGroups(false, min(w.opts.Readers, maxGroups)); err != nil {
+		return err
+	}
+	if err := w.addGroups(true, min(w.opts.Writers, maxGroups)); err != nil {
+		return err
+	}
+	if err := w.AddEngines(w.opts.Readers, false, 0); err != nil {
+		return err
+	}
+	return w.AddEngines(w.opts.Writers, true, 0)
+}
+
+// addGroups makes groups of a role.
+func (w *World) addGroups(writers bool, n int) error {
+	for range n {
+		g := &group{writers: writers}
+		w.groups = append(w.groups, g)
+		for router := range w.opts.Routers {
+			p, err := standin.NewProxy(w.Cluster, router)
+			if err != nil {
+				return err
+			}
+			g.proxies = append(g.proxies, p)
 		}
 	}
-	return w, nil
+	return nil
 }
 
-// Requests that an engine does at once.
+// Requests that all engines of a role do at once, for each router, where engines are many: a router's part of what the engines
+// can do hangs on nothing else. With few engines each does more.
 const (
-	readerSlots = 8
-	writerSlots = 24
+	readerSlots  = 8
+	writerSlots  = 24
+	readerShare  = 24
+	writerShare  = 60
+	leastSlots   = 1
+	fewOfOneRole = 40
 )
 
-// hosts of the routers and of the proxies, by the router's number.
+// slots is how many requests an engine of a role does at once.
+func (o *WorldOptions) slots(writer bool) int {
+	n, most, share := o.Readers, readerSlots, readerShare
+	if writer {
+		n, most, share = o.Writers, writerSlots, writerShare
+	}
+	if n <= fewOfOneRole {
+		return most
+	}
+	return min(max(share*o.Routers/n, leastSlots), most)
+}
+
+// hosts of the routers and of their agents, by the router's number.
 func routerHost(i int) string { return fmt.Sprintf("127.20.%d.%d", i>>8, i&0xff) }
-func proxyHost(i int) string  { return fmt.Sprintf("127.40.%d.%d", i>>8, i&0xff) }
+func agentHost(i int) string  { return fmt.Sprintf("127.40.%d.%d", i>>8, i&0xff) }
 
 func (w *World) newRouter(i int) (*Router, error) {
 	addr, err := freeAddr(routerHost(i))
@@ -126,11 +182,11 @@
 
 // NewAgent starts an agent of discovery for a router.
 func (w *World) NewAgent(router int) (*standin.Agent, error) {
-	a, err := standin.NewAgent(w.Directory, proxyHost(router), func(member string) string {
+	a, err := standin.NewAgent(w.Directory, agentHost(router), func(member string) string {
 		w.mu.Lock()
 		defer w.mu.Unlock()
-		if p := w.proxies[link{router, member}]; p != nil {
-			return p.Addr()
+		if g := w.groupOf[member]; g != nil && w.engines[member] != nil {
+			return g.proxies[router].AddrOf(w.engines[member])
 		}
 		return "127.0.0.1:1" // it has left
 	})
@@ -147,12 +203,14 @@
 func (w *World) pathsOf(router int) map[string]*path {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	silences := map[*group][]standin.Span{}
+	for _, g := range w.groups {
+		silences[g] = g.proxies[router].Silences()
+	}
 	out := map[string]*path{}
 	for _, e := range w.all {
 		p := &path{since: e.Started(), gaps: e.Absences()}
-		if proxy := w.allProxies[link{router, e.ID()}]; proxy != nil {
-			p.gaps = append(p.gaps, proxy.Silences()...)
-		}
+		p.gaps = append(p.gaps, silences[w.groupOf[e.ID()]]...)
 		slices.SortFunc(p.gaps, func(a, b standin.Span) int { return a.From.Compare(b.From) })
 		out[e.ID()] = p
 	}
@@ -166,48 +224,59 @@
 	return append([]*standin.Agent(nil), w.agents[router]...)
 }
 
-// AddEngine starts an engine and lists it; sinceMS is its start as the list tells it, 0 for long ago.
-func (w *World) AddEngine(writer bool, sinceMS int64) (*standin.Engine, error) {
+// AddEngines starts engines of a role and lists them in one change; sinceMS is their start as the list tells it, 0 for long
+// ago.
+func (w *World) AddEngines(n int, writers bool, sinceMS int64) error {
+	members := make([]watch.Member, 0, n)
+	for range n {
+		m, err := w.startEngine(writers, sinceMS)
+		if err != nil {
+			return err
+		}
+		members = append(members, m)
+	}
+	w.Directory.Put(members...)
+	return nil
+}
+
+// startEngine starts an engine that is not listed yet.
+func (w *World) startEngine(writer bool, sinceMS int64) (m watch.Member, err error) {
 	w.mu.Lock()
+	defer w.mu.Unlock()
 	w.serial++
 	kind, prefix := readerKind, "p"
 	if writer {
 		kind, prefix = writerKind, "d"
 	}
 	id := fmt.Sprintf("%s%d", prefix, w.serial)
-	w.mu.Unlock()
-	slots := readerSlots
-	if writer {
-		slots = writerSlots
-	}
-	e, err := standin.NewEngine(standin.EngineOptions{ID: id, Writer: writer, Cluster: w.Cluster, Work: w.opts.Work, Slots: slots,
-		Seed: w.opts.Seed + uint64(w.serial)})
+	e, err := standin.NewEngine(standin.EngineOptions{ID: id, Writer: writer, Cluster: w.Cluster, Work: w.opts.Work,
+		Slots: w.opts.slots(writer), Seed: w.opts.Seed + uint64(w.serial), Machines: w.machines})
 	if err != nil {
-		return nil, err
+		return m, err
 	}
-	proxies := map[link]*standin.Proxy{}
-	for i := range w.opts.Routers {
-		p, err := standin.NewProxy(w.Cluster, proxyHost(i), e.Addr(), i)
-		if err != nil {
-			e.Kill()
-			return nil, err
-		}
-		proxies[link{i, id}] = p
+	g := w.smallestGroup(writer)
+	g.size++
+	for _, p := range g.proxies {
+		p.Place(e)
 	}
-	m := watch.Member{ID: id, Zone: zoneName, Kind: kind, Cell: 1, Phase: watch.Up, Size: 1, SinceMS: sinceMS}
-	w.mu.Lock()
-	w.engines[id], w.members[id] = e, m
+	w.groupOf[id], w.engines[id] = g, e
 	w.all = append(w.all, e)
 	if sinceMS > 0 {
 		w.starts[id] = time.UnixMilli(sinceMS)
 	}
-	for at, p := range proxies {
-		w.proxies[at] = p
-		w.allProxies[at] = p
+	m = watch.Member{ID: id, Zone: zoneName, Kind: kind, Cell: 1, Phase: watch.Up, Size: 1, SinceMS: sinceMS}
+	w.members[id] = m
+	return m, nil
+}
+
+// smallestGroup is the group of a role with the fewest engines. mu is held.
+func (w *World) smallestGroup(writers bool) (least *group) {
+	for _, g := range w.groups {
+		if g.writers == writers && (least == nil || g.size < least.size) {
+			least = g
+		}
 	}
-	w.mu.Unlock()
-	w.Directory.Put(m)
-	return e, nil
+	return least
 }
 
 // Engines returns the engines that run, by their ids.
@@ -221,11 +290,21 @@
 	return out
 }
 
-// Proxy returns the proxy between a router and an engine; nil if the engine is gone.
+// Proxy returns the proxy between a router and an engine, and those of its group; nil if the engine is not known.
 func (w *World) Proxy(router int, engine string) *standin.Proxy {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.proxies[link{router, engine}]
+	if g := w.groupOf[engine]; g != nil {
+		return g.proxies[router]
+	}
+	return nil
+}
+
+// groupOfEngine returns the group of an engine that ever ran.
+func (w *World) groupOfEngine(id string) *group {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.groupOf[id]
 }
 
 // Ready tells how many engines of a role are listed as up and not on their way out.
@@ -251,19 +330,23 @@
 	return true
 }
 
-// BeginDrain lists an engine as draining.
-func (w *World) BeginDrain(id string) { w.setPhase(id, watch.Draining) }
+// BeginDrain lists engines as draining, in one change.
+func (w *World) BeginDrain(ids ...string) { w.setPhase(watch.Draining, ids) }
 
-// TakeOff takes an engine off the list.
-func (w *World) TakeOff(id string) { w.setPhase(id, watch.Removed) }
+// TakeOff takes engines off the list, in one change.
+func (w *World) TakeOff(ids ...string) { w.setPhase(watch.Removed, ids) }
 
-func (w *World) setPhase(id, phase string) {
+func (w *World) setPhase(phase string, ids []string) {
+	var changed []watch.Member
 	w.mu.Lock()
-	m := w.members[id]
-	m.Phase = phase
-	w.members[id] = m
+	for _, id := range ids {
+		m := w.members[id]
+		m.Phase = phase
+		w.members[id] = m
+		changed = append(changed, m)
+	}
 	w.mu.Unlock()
-	w.Directory.Put(m)
+	w.Directory.Put(changed...)
 }
 
 // RemoveEngine ends an engine that was taken off the list.
@@ -272,19 +355,17 @@
 	e := w.engines[id]
 	delete(w.engines, id)
 	delete(w.members, id)
-	var gone []*standin.Proxy
-	for at, p := range w.proxies {
-		if at.engine == id {
-			gone = append(gone, p)
-			delete(w.proxies, at)
-		}
+	g := w.groupOf[id]
+	if e != nil {
+		g.size--
 	}
 	w.mu.Unlock()
-	if e != nil {
-		e.Kill()
+	if e == nil {
+		return
 	}
-	for _, p := range gone {
-		p.Close()
+	e.Kill()
+	for _, p := range g.proxies {
+		p.Withdraw(e)
 	}
 }
 
@@ -301,15 +382,23 @@
 		}
 	}
 	w.mu.Lock()
-	engines, agents, proxies := w.engines, w.agents, w.proxies
-	w.engines, w.agents, w.proxies = nil, nil, nil
+	engines, agents := w.engines, w.agents
+	w.engines, w.agents = nil, nil
+	closed := w.closed
+	w.closed = true
 	w.mu.Unlock()
+	if closed {
+		return
+	}
 	for _, e := range engines {
 		e.Kill()
 	}
-	for _, p := range proxies {
-		p.Close()
+	for _, g := range w.groups {
+		for _, p := range g.proxies {
+			p.Close()
+		}
 	}
+	w.machines.Close()
 	for _, of := range agents {
 		for _, a := range of {
 			a.Close()
--- a/internal/standin/chat/discovery.go
+++ b/internal/standin/chat/discovery.go
@@ -257,5 +257,12 @@
 	}
 	a.revision = max(a.revision, list.Revision)
 	a.mu.Unlock()
-	json.NewEncoder(w).Encode(list)
+	encoder := json.NewEncoder(w)
+	if list.Revision%indentedOf == 0 {
+		encoder.SetIndent("", "  ")
+	}
+	encoder.Encode(list)
 }
+
+// indentedOf: one in so many lists comes indented.
+const indentedOf = 3
--- a/internal/standin/chat/engine.go
+++ b/internal/standin/chat/engine.go
@@ -8,6 +8,7 @@
 	"io"
 	"math/rand/v2"
 	"net"
+	"net/netip"
 	"strconv"
 	"strings"
 	"sync"
@@ -49,11 +50,15 @@
 	Work    Work
 	Slots   int // requests at once; more are turned away
 	Seed    uint64
+	// Machines is where the engine listens.
+	Machines *Machines
 }
 
-// Engine is one stand-in engine. It listens on an address of its own; routers reach it through proxies.
+// Engine is one stand-in engine. It has an address of its own; routers reach it through proxies.
 type Engine struct {
 	opts    EngineOptions
+	number  int
+	addr    netip.AddrPort
 	started time.Time
 	work    sync.WaitGroup
 
@@ -61,7 +66,6 @@
 	behaviour Behaviour
 	hung      chan struct{} // closed when it does not hang
 	random    *rand.Rand
-	listener  net.Listener
 	conns     map[net.Conn]struct{}
 	busy      int
 	dead      bool
@@ -89,18 +93,17 @@
 	e := &Engine{opts: o, started: time.Now(), random: rand.New(rand.NewPCG(o.Seed, 17)), conns: map[net.Conn]struct{}{},
 		hung: make(chan struct{}), struck: map[string]int{}}
 	close(e.hung)
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return nil, fmt.Errorf("engine: %w", err)
+	if err := o.Machines.add(e); err != nil {
+		return nil, err
 	}
-	e.listener = l
-	e.work.Add(1)
-	go e.accept(l)
 	return e, nil
 }
 
 // Addr is where the engine listens.
-func (e *Engine) Addr() string { return e.listener.Addr().String() }
+func (e *Engine) Addr() string { return e.addr.String() }
+
+// Number tells the engines of one listener apart.
+func (e *Engine) Number() int { return e.number }
 
 // ID is the engine's name in discovery's list.
 func (e *Engine) ID() string { return e.opts.ID }
@@ -165,7 +168,7 @@
 		e.behaviour.Hang = false
 	}
 	e.mu.Unlock()
-	e.listener.Close()
+	e.opts.Machines.remove(e)
 	e.work.Wait()
 	e.opts.Cluster.die(e.opts.ID)
 }
@@ -177,34 +180,24 @@
 	c.Close()
 }
 
-func (e *Engine) accept(l net.Listener) {
-	defer e.work.Done()
-	for {
-		c, err := l.Accept()
-		if errors.Is(err, net.ErrClosed) {
-			return
-		}
-		if err != nil {
-			continue
-		}
+// take serves a connection; false if the engine has died.
+func (e *Engine) take(c net.Conn) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.dead {
+		return false
+	}
+	e.conns[c] = struct{}{}
+	e.work.Add(1)
+	go func() {
+		defer e.work.Done()
+		e.serve(c)
 		e.mu.Lock()
-		if e.dead {
-			e.mu.Unlock()
-			reset(c)
-			return
-		}
-		e.conns[c] = struct{}{}
-		e.work.Add(1)
+		delete(e.conns, c)
 		e.mu.Unlock()
-		go func() {
-			defer e.work.Done()
-			e.serve(c)
-			e.mu.Lock()
-			delete(e.conns, c)
-			e.mu.Unlock()
-			c.Close()
-		}()
-	}
+		c.Close()
+	}()
+	return true
 }
 
 // engineConn is a connection to an engine.
--- a/internal/standin/chat/proxy.go
+++ b/internal/standin/chat/proxy.go
@@ -5,21 +5,24 @@
 	"errors"
 	"fmt"
 	"net"
+	"net/netip"
 	"sync"
 	"syscall"
 	"time"
 )
 
-// Proxy carries the connections of one router to one engine and injects the faults of a network between them.
+// Proxy carries the connections of one router to some engines and injects the faults of a network between them, to all of them
+// alike. It has one listener; the local address of a connection tells the engine.
 type Proxy struct {
 	cluster  *Cluster
-	engine   string // address
 	router   int
 	listener *net.TCPListener
+	port     uint16
 	work     sync.WaitGroup
 	ended    chan struct{} // closed when the listener is
 
 	mu       sync.Mutex
+	engines  map[netip.Addr]netip.AddrPort // by the address at which the router reaches each
 	links    map[*link]struct{}
 	silent   bool
 	silences []Span
@@ -43,27 +46,52 @@
 	router, engine *net.TCPConn
 	passage        *passage
 	lost           bool // something was dropped: the connection is of no use any more
+	forgotten      bool // it is never reset
 }
 
 // copyBuffer is the size of what is carried at a time.
 const copyBuffer = 16 << 10
 
-// NewProxy starts a proxy for a router's connections to an engine. host is where it listens.
-func NewProxy(cluster *Cluster, host, engine string, router int) (*Proxy, error) {
-	l, err := net.Listen("tcp", net.JoinHostPort(host, "0"))
+// NewProxy starts a proxy for a router's connections.
+func NewProxy(cluster *Cluster, router int) (*Proxy, error) {
+	l, err := net.Listen("tcp4", "0.0.0.0:0")
 	if err != nil {
 		return nil, fmt.Errorf("proxy: %w", err)
 	}
-	p := &Proxy{cluster: cluster, engine: engine, router: router, listener: l.(*net.TCPListener), links: map[*link]struct{}{},
-		gate: make(chan struct{}), ended: make(chan struct{}), struck: map[string]int{}}
+	p := &Proxy{cluster: cluster, router: router, listener: l.(*net.TCPListener), port: uint16(l.Addr().(*net.TCPAddr).Port),
+		engines: map[netip.Addr]netip.AddrPort{}, links: map[*link]struct{}{}, gate: make(chan struct{}),
+		ended: make(chan struct{}), struck: map[string]int{}}
 	close(p.gate)
 	p.work.Add(1)
 	go p.accept()
 	return p, nil
 }
 
-// Addr is where the router connects.
-func (p *Proxy) Addr() string { return p.listener.Addr().String() }
+// Place puts an engine behind the proxy, and returns where the router reaches it.
+func (p *Proxy) Place(e *Engine) string {
+	at := numbered(networkNet, e.number)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.engines[at] = e.addr
+	return p.AddrOf(e)
+}
+
+// AddrOf is where the router reaches an engine.
+func (p *Proxy) AddrOf(e *Engine) string {
+	return netip.AddrPortFrom(numbered(networkNet, e.number), p.port).String()
+}
+
+// Withdraw takes an engine that has ended from behind the proxy.
+func (p *Proxy) Withdraw(e *Engine) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.engines, numbered(networkNet, e.number))
+}
+
+// own is an address of the proxy at which no engine is.
+func (p *Proxy) own() string {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), p.port).String()
+}
 
 // Close ends the proxy and all its connections.
 func (p *Proxy) Close() {
@@ -122,7 +150,7 @@
 	p.silent = false
 	p.silences[len(p.silences)-1].Until = time.Now()
 	for l := range p.links {
-		if l.lost {
+		if l.lost && !l.forgotten {
 			l.reset()
 		}
 	}
@@ -137,6 +165,20 @@
 	return append([]Span(nil), p.silences...)
 }
 
+// Forget makes the connections that stand silent for good, with no error; new ones are not concerned. So does a device on the
+// way that has lost its table of connections.
+func (p *Proxy) Forget() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for l := range p.links {
+		if !l.lost {
+			l.lost, l.forgotten = true, true
+			l.passage.drop()
+			p.struck["connections forgotten"]++
+		}
+	}
+}
+
 // SlowStart makes new connections carry nothing for a while, as a slow handshake would.
 func (p *Proxy) SlowStart(d time.Duration) {
 	p.mu.Lock()
@@ -165,7 +207,7 @@
 		return err
 	}
 	for range mostFill {
-		c, err := net.DialTimeout("tcp", p.Addr(), fillWithin)
+		c, err := net.DialTimeout("tcp", p.own(), fillWithin)
 		switch {
 		case err == nil:
 			p.fillers = append(p.fillers, c)
@@ -269,11 +311,18 @@
 // carry joins a router's connection to one to the engine.
 func (p *Proxy) carry(router *net.TCPConn) {
 	defer router.Close()
+	p.mu.Lock()
+	to, known := p.engines[localIP(router)]
+	p.mu.Unlock()
+	if !known {
+		router.SetLinger(0) // nobody is there: as near to a refusal as can be had
+		return
+	}
 	// The engine tells routers apart by the address that the connection comes from.
 	d := net.Dialer{LocalAddr: &net.TCPAddr{IP: RouterIP(p.router)}, Timeout: time.Second}
-	c, err := d.DialContext(context.Background(), "tcp", p.engine)
+	c, err := d.DialContext(context.Background(), "tcp", to.String())
 	if err != nil {
-		router.SetLinger(0) // nobody listens there: as near to a refusal as can be had
+		router.SetLinger(0)
 		return
 	}
 	engine := c.(*net.TCPConn)
--- a/internal/standin/chat/proxy_test.go
+++ b/internal/standin/chat/proxy_test.go
@@ -1,7 +1,6 @@
 package chat
 
 import (
-	"fmt"
 	"net"
 	"sync"
 	"testing"
@@ -12,18 +11,24 @@
 func TestDialsInASilence(t *testing.T) {
 	const proxies, dialWithin, patience = 30, 250 * time.Millisecond, 20 * time.Second
 	cluster := NewCluster()
-	e, err := NewEngine(EngineOptions{ID: "d", Cluster: cluster})
+	machines, err := NewMachines()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer machines.Close()
+	e, err := NewEngine(EngineOptions{ID: "d", Cluster: cluster, Machines: machines})
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer e.Kill()
 	var all []*Proxy
 	for i := range proxies {
-		p, err := NewProxy(cluster, fmt.Sprintf("127.40.0.%d", i), e.Addr(), i)
+		p, err := NewProxy(cluster, i)
 		if err != nil {
 			t.Fatal(err)
 		}
 		defer p.Close()
+		p.Place(e)
 		all = append(all, p)
 	}
 	each := func(do func(p *Proxy)) {
@@ -34,7 +39,7 @@
 		work.Wait()
 	}
 	comesUp := func(p *Proxy, within time.Duration) bool {
-		c, err := net.DialTimeout("tcp", p.Addr(), within)
+		c, err := net.DialTimeout("tcp", p.AddrOf(e), within)
 		if err != nil {
 			return false
 		}
