Decision module: an event's cost no longer grows with the square of the servers

Cause: each cold server that a pick looks at had all servers counted, each answer had all answer times sorted anew, and each entry of a list had the whole order sorted.

Change: warm servers are counted once for each list and each server that warms; ordered times are kept by insertion; readers and writers are listed by role; whether a server may be picked is looked at only where it would be taken. The picks are the same but for the numbers drawn.

--- a/decide/admission.go
+++ b/decide/admission.go
@@ -19,15 +19,18 @@
 // books is the share of the sound writers' memory that is held if every router holds as much as this one.
 // It shows at once what reports tell late; it may harm a router with more than its part of the traffic.
 func (r *Router) books() float64 {
+	if r.many {
+		return 0 // this router's few streams tell nothing of the others'
+	}
 	booked, memory := 0.0, 0.0
-	for _, s := range r.order {
-		if s.ready && s.role&Writer != 0 && !r.suspect(s, false) {
+	for _, s := range r.writers {
+		if s.ready && !r.suspect(s, false) {
 			booked += s.booked
 			memory += s.memory
 		}
 	}
-	if memory <= 0 || r.many {
-		return 0 // the settings do not tell it, or this router's few streams tell nothing of the others'
+	if memory <= 0 {
+		return 0 // the settings do not tell it
 	}
 	return answerGrowth * booked * float64(r.set.Routers) / memory
 }
--- a/decide/bench_test.go
+++ b/decide/bench_test.go
@@ -5,42 +5,102 @@
 	"testing"
 )
 
-// BenchmarkRequest is a whole request's events through the module: arrival, read, first token, end. Divide
-// by four for an event.
+// benchFleet is a router that knows many servers and answers its own probes.
+type benchFleet struct {
+	b    *testing.B
+	r    *Router
+	now  Time
+	id   RequestID
+	out  []Action
+	sent []ServerID // by attempt of the request under way
+}
+
+var benchUntold = Report{MemoryShare: -1, WaitingK: -1, Latency: -1}
+
+// newBenchFleet makes a router of many; of the servers, one in coldOf started just now, 0: none.
+func newBenchFleet(b *testing.B, servers, routers, coldOf int) *benchFleet {
+	set := settings()
+	set.Routers, set.Probing, set.ProbeFee = routers, true, 0.0026
+	f := &benchFleet{b: b, r: New(set, 1, 1000*Second), now: 1000 * Second}
+	f.handle(&Event{Kind: ListCached, Servers: benchList(servers, coldOf, f.now), Report: benchUntold})
+	return f
+}
+
+func benchList(servers, coldOf int, now Time) (list []Listing) {
+	for i := range servers {
+		l := Listing{Server: ServerID(mix(uint64(i + 1))), Kind: i % 2, Cell: i / 6, Zone: i % 3, Condition: Ready, Weight: 1}
+		if coldOf > 0 && i/2%coldOf == 0 {
+			l.Since = now
+		}
+		list = append(list, l)
+	}
+	return list
+}
+
+// handle tells an event, and answers the probes that it leads to.
+func (f *benchFleet) handle(ev *Event) {
+	f.now += ms / 10
+	f.out = f.r.Handle(f.now, ev, f.out[:0])
+	var probed []ServerID
+	for i := range f.out {
+		switch a := &f.out[i]; a.Kind {
+		case Send:
+			f.sent = append(f.sent, a.Server)
+		case Probe:
+			probed = append(probed, a.Server)
+		}
+	}
+	for _, s := range probed {
+		f.handle(&Event{Kind: Probed, Server: s, Outcome: Served, Report: Report{MemoryShare: 0.2, WaitingK: 0, Latency: -1}})
+	}
+}
+
+// request takes a whole request through: arrival, read, first token, end.
+func (f *benchFleet) request() {
+	f.id++
+	f.sent = f.sent[:0]
+	f.now += 30 * ms
+	id := f.id
+	f.handle(&Event{Kind: Arrived, Request: id, Report: benchUntold, Job: Job{Session: uint64(id % 100), Text: uint64(id%20) + 1,
+		Prompt: 1000, Prefix: 800, MaxOut: 100, Deadline: f.now + 4*Second}})
+	if len(f.sent) != 1 {
+		f.b.Fatalf("%d sends after the arrival", len(f.sent))
+	}
+	f.handle(&Event{Kind: Ended, Request: id, Server: f.sent[0], Outcome: ReadDone, Spent: ms, Report: benchUntold})
+	if len(f.sent) != 2 {
+		f.b.Fatalf("%d sends after the read", len(f.sent))
+	}
+	f.handle(&Event{Kind: FirstToken, Request: id, Server: f.sent[1], Attempt: 1, Spent: ms, Report: benchUntold})
+	f.handle(&Event{Kind: Ended, Request: id, Server: f.sent[1], Attempt: 1, Outcome: Served, Closed: true, Spent: ms, Report: benchUntold})
+	f.handle(&Event{Kind: Timer, Report: benchUntold})
+}
+
+// BenchmarkRequest is a whole request's events through the module, with the probes that it leads to.
 func BenchmarkRequest(b *testing.B) {
-	for _, n := range []int{10, 50, 230} {
-		b.Run(fmt.Sprint(n, "engines"), func(b *testing.B) {
-			var list []Listing
-			for i := range n {
-				list = append(list, Listing{Server: ServerID(i + 1), Kind: i % 2, Cell: i / 6, Condition: Ready, Weight: 1})
-			}
-			now := 1000 * Second
-			untold := Report{MemoryShare: -1, WaitingK: -1, Latency: -1}
-			r := New(settings(), 1, now)
-			out := r.Handle(now, &Event{Kind: ListCached, Servers: list, Report: untold}, nil)
-			id := RequestID(0)
-			send := func(out []Action) ServerID {
-				for i := range out {
-					if out[i].Kind == Send {
-						return out[i].Server
-					}
-				}
-				b.Fatal("nothing was sent")
-				return 0
-			}
+	for _, c := range []struct {
+		name                     string
+		servers, routers, coldOf int
+	}{
+		{"few routers, 18 servers", 18, 2, 0}, {"few routers, 3200 servers", 3200, 2, 0},
+		{"many routers, 200 servers", 200, 300, 0}, {"many routers, 3200 servers", 3200, 300, 0},
+		{"many routers, 3200 servers, half cold", 3200, 300, 2},
+	} {
+		b.Run(c.name, func(b *testing.B) {
+			f := newBenchFleet(b, c.servers, c.routers, c.coldOf)
 			b.ReportAllocs()
 			for b.Loop() {
-				id++
-				now += ms
-				out = r.Handle(now, &Event{Kind: Arrived, Request: id, Report: untold, Job: Job{Session: uint64(id % 100), Text: uint64(id%20) + 1,
-					Prompt: 1000, Prefix: 800, MaxOut: 100, Deadline: now + 4*Second}}, out[:0])
-				s := send(out)
-				now += ms
-				out = r.Handle(now, &Event{Kind: Ended, Request: id, Server: s, Outcome: ReadDone, Spent: ms, Report: untold}, out[:0])
-				s = send(out)
-				now += ms
-				out = r.Handle(now, &Event{Kind: FirstToken, Request: id, Server: s, Attempt: 1, Spent: ms, Report: untold}, out[:0])
-				out = r.Handle(now, &Event{Kind: Ended, Request: id, Server: s, Attempt: 1, Outcome: Served, Closed: true, Spent: ms, Report: untold}, out[:0])
+				f.request()
+			}
+		})
+	}
+}
+
+// BenchmarkList is a first list of many servers, and then one that replaces half of them.
+func BenchmarkList(b *testing.B) {
+	for _, n := range []int{200, 3200} {
+		b.Run(fmt.Sprint(n, " servers"), func(b *testing.B) {
+			for b.Loop() {
+				newBenchFleet(b, n, 300, 2)
 			}
 		})
 	}
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -7,6 +7,7 @@
 // server is what this router knows of one server.
 type server struct {
 	id         ServerID
+	hash       uint64 // of the id
 	zone, cell int
 	role       Role
 	memory     float64
@@ -82,6 +83,10 @@
 	now       Time
 	servers   map[ServerID]*server
 	order     []*server // by id, so that no decision hangs on map order
+	readers   []*server // of order, the ready ones that only read
+	writers   []*server // of order, the ready ones that write
+	warm      warmCount
+	coldRate  [Both + 1]float64 // budget of a cold server by role, of the event under way; 0: not worked out
 	requests  map[RequestID]*request
 	out       []Action
 	pace      float64 // ns to read one token
@@ -134,6 +139,7 @@
 // Handle takes one event and appends the actions that answer it.
 func (r *Router) Handle(now Time, ev *Event, out []Action) []Action {
 	r.now, r.out = now, out
+	r.coldRate = [Both + 1]float64{}
 	switch ev.Kind {
 	case ListChanged, ListFull, ListCached:
 		r.list(ev)
--- a/decide/health.go
+++ b/decide/health.go
@@ -65,14 +65,37 @@
 	return times[len(times)/2]
 }
 
+// learn takes in an answer time. The ordered times are kept up to date, as sorting all of them anew after
+// each answer takes long where servers are many.
 func (r *Router) learn(s *server, spent float64) {
-	r.timed = [Both + 1]bool{}
+	r.dropTime(s)
 	if s.answers == 0 {
 		s.answer = spent
 	}
 	s.answer += answerGain * (spent - s.answer)
 	s.answers++
 	s.answered = r.now
+	r.addTime(s)
+}
+
+// dropTime takes a server's answer time out of the ordered ones. It has to be called before the time changes.
+func (r *Router) dropTime(s *server) {
+	for role := Reader; role <= Both; role++ {
+		if r.timed[role] && r.timeOf(s, role) {
+			at, _ := slices.BinarySearch(r.times[role], s.answer)
+			r.times[role] = slices.Delete(r.times[role], at, at+1)
+		}
+	}
+}
+
+// addTime puts it back.
+func (r *Router) addTime(s *server) {
+	for role := Reader; role <= Both; role++ {
+		if r.timed[role] && r.timeOf(s, role) {
+			at, _ := slices.BinarySearch(r.times[role], s.answer)
+			r.times[role] = slices.Insert(r.times[role], at, s.answer)
+		}
+	}
 }
 
 // good: a server has answered in so much time. A benched one is back if that is no longer slow.
@@ -83,12 +106,15 @@
 		}
 		*mean += mixGain * (work - *mean)
 		r.dones[q.stage].add(r.now, work/max(*mean, 1))
+		r.coldRate = [Both + 1]float64{}
 		r.coldGap(s.role, 1) // notes what a warm one does
 	}
 	s.failing *= 1 - failGain
 	usual := r.usual(s.role, s)
 	if s.bench > 0 {
+		r.dropTime(s)
 		s.answer = spent
+		r.addTime(s)
 	}
 	r.learn(s, spent)
 	slow := usual > 0 && s.answer > slowTimes*usual
--- a/decide/membership.go
+++ b/decide/membership.go
@@ -24,10 +24,10 @@
 	for _, l := range ev.Servers {
 		s := r.servers[l.Server]
 		if s == nil {
-			s = &server{id: l.Server, share: -1, kept: map[uint64]float64{}, since: l.Since, leftAt: r.now}
+			s = &server{id: l.Server, hash: mix(uint64(l.Server)), share: -1, since: l.Since, leftAt: r.now,
+				kept: map[uint64]float64{}}
 			r.servers[l.Server] = s
 			r.order = append(r.order, s)
-			slices.SortFunc(r.order, func(a, b *server) int { return cmp.Compare(a.id, b.id) })
 			s.coldAt, s.coldWork = r.now, r.random()
 			s.probedAt = r.now - Duration(r.random()*float64(Second)) // in no common order
 		}
@@ -43,10 +43,27 @@
 			s.coldAt, s.coldWork = r.now, r.random() // not all routers at once
 		}
 	}
+	slices.SortFunc(r.order, func(a, b *server) int { return cmp.Compare(a.id, b.id) })
 	r.forget()
+	r.sortByRole()
 	r.countCells()
 }
 
+// sortByRole makes the lists of the servers that decisions choose from.
+func (r *Router) sortByRole() {
+	r.readers, r.writers = r.readers[:0], r.writers[:0]
+	for _, s := range r.order {
+		switch {
+		case !s.ready || s.role == 0:
+		case s.role == Reader:
+			r.readers = append(r.readers, s)
+		default:
+			r.writers = append(r.writers, s)
+		}
+	}
+	r.warm.until = 0
+}
+
 func (r *Router) setReady(s *server, ready bool) {
 	if s.ready && !ready {
 		s.leftAt = r.now
--- a/decide/probing.go
+++ b/decide/probing.go
@@ -3,10 +3,7 @@
 // Asking servers for their load: before a pick, where routers are many, and at a pace set by the price of
 // probes.
 
-import (
-	"cmp"
-	"slices"
-)
+import "slices"
 
 // asks tells whether servers are asked before they are picked: by many routers, where it is cheap.
 func (r *Router) asks() bool { return r.many && r.set.Probing && r.set.ProbeFee*askMost <= askPoints }
@@ -34,18 +31,12 @@
 		slices.ContainsFunc(q.asked, roomy) {
 		return false
 	}
-	var walk []*server
-	for _, s := range r.order {
-		if s.role == Reader && r.candidate(q, s, reading, true) && !slices.Contains(q.asked, s) {
-			walk = append(walk, s)
-		}
-	}
-	slices.SortFunc(walk, func(a, b *server) int { return cmp.Compare(q.nearness(b), q.nearness(a)) })
+	walk := r.nextInWalk(q)
 	waits := false
 	if len(walk) > 0 && len(q.asked) == 0 {
 		r.askWriters(q, walk[0])
 	}
-	for _, s := range walk[:max(0, min(askPair, askPair+askMost-len(q.asked), len(walk)))] {
+	for _, s := range walk[:max(0, min(askPair+askMost-len(q.asked), len(walk)))] {
 		q.asked = append(q.asked, s)
 		if !r.told(s) {
 			waits = true
@@ -58,6 +49,25 @@
 	return waits
 }
 
+// nextInWalk returns the next askPair readers of the walk from a key's home that were not asked yet.
+func (r *Router) nextInWalk(q *request) []*server {
+	next := make([]*server, 0, askPair+1)
+	for _, s := range r.readers {
+		near := q.nearness(s)
+		if len(next) == askPair && near <= q.nearness(next[askPair-1]) || slices.Contains(q.asked, s) ||
+			!r.candidate(q, s, reading, true) {
+			continue
+		}
+		at := len(next)
+		for at > 0 && near > q.nearness(next[at-1]) {
+			at--
+		}
+		next = slices.Insert(next, at, s)
+		next = next[:min(len(next), askPair)]
+	}
+	return next
+}
+
 func (r *Router) probe(s *server) {
 	if !s.probing {
 		s.probing, s.probedAt = true, r.now
--- a/decide/reader.go
+++ b/decide/reader.go
@@ -2,39 +2,56 @@
 
 // The choice of a reader: prefix home, spill, fewest waiting.
 
-import "slices"
-
 // pickReader walks from a key's home to the first under the spill bound, else takes the one with the fewest.
 func (r *Router) pickReader(q *request) *server {
 	for pass := range 3 {
-		strict, asked := pass < 2, pass == 0 // first those that were asked
-		var home, fewest *server
-		for _, s := range r.order {
-			if s.role != Reader || !r.candidate(q, s, reading, strict) {
-				continue
-			}
-			if asked && !slices.Contains(q.asked, s) {
-				continue
-			}
-			if r.hasRoom(q, s) && (home == nil || q.nearness(s) > q.nearness(home)) {
-				home = s
-			}
-			if fewest == nil || r.backlog(s) < r.backlog(fewest) {
-				fewest = s
-			}
+		strict, among := pass < 2, r.readers
+		if pass == 0 { // first those that were asked
+			among = q.asked
 		}
-		if home == nil {
-			home = fewest
+		if s := r.home(q, among, strict); s != nil {
+			return s
 		}
-		if home != nil {
-			return home
+		if s := r.fewest(q, among, strict); s != nil {
+			return s
 		}
 	}
 	return nil
 }
 
+// home is the reader that is nearest to a key's home and has room. Whether one may be picked is looked at
+// only where it is nearer than the best so far, which is rare: readers are many.
+func (r *Router) home(q *request, among []*server, strict bool) (home *server) {
+	nearest := uint64(0)
+	for _, s := range among {
+		if near := q.nearness(s); (home == nil || near > nearest) && s.role == Reader &&
+			r.candidate(q, s, reading, strict) && r.hasRoom(q, s) {
+			home, nearest = s, near
+		}
+	}
+	return home
+}
+
+// fewest is the reader with the fewest tokens waiting; of equals the one of the lowest id.
+func (r *Router) fewest(q *request, among []*server, strict bool) (fewest *server) {
+	least := 0.0
+	for _, s := range among {
+		if s.role != Reader {
+			continue
+		}
+		n := r.backlog(s)
+		if fewest != nil && (n > least || n == least && s.id > fewest.id) {
+			continue
+		}
+		if r.candidate(q, s, reading, strict) {
+			fewest, least = s, n
+		}
+	}
+	return fewest
+}
+
 // nearness orders the readers in the walk from a key's home.
-func (q *request) nearness(s *server) uint64 { return mix(q.key ^ mix(uint64(s.id))) }
+func (q *request) nearness(s *server) uint64 { return mix(q.key ^ s.hash) }
 
 // fresh guesses how many tokens of a prompt a reader has not kept.
 func (r *Router) fresh(q *request, s *server) float64 {
--- a/decide/writer.go
+++ b/decide/writer.go
@@ -9,49 +9,93 @@
 // they said then; with heard false, the next to be asked is picked.
 func (r *Router) pickWriter(q *request, heard bool) *server {
 	for pass := range 3 {
-		strict, asked := pass < 2, pass == 0
-		var pick, fallback *server
-		var streams, cost, least float64
-		ties := 0.0
-		for _, s := range r.order {
-			if s.role&Writer == 0 || !r.candidate(q, s, writing, strict) {
-				continue
-			}
-			if one := slices.Contains(q.asked, s); asked && !(one && s.toldAt >= q.arrived) || one && !heard {
-				continue
-			}
-			print := r.footprint(s, q.job.Prompt)
-			if fallback == nil || print < least {
-				fallback, least = s, print
-			}
-			if s.share >= 0 && print > fitFraction {
-				continue
-			}
-			n := float64(s.streams) + r.far(distance(q, s)) + r.crowded(q, s)
-			c := s.booked + streamWeight*float64(s.streams)
-			if asked {
-				n, c = float64(s.streams), print
-			}
-			switch {
-			case pick == nil || n < streams || n == streams && c < cost:
-				pick, streams, cost, ties = s, n, c, 1
-			case n == streams && c == cost:
-				ties++
-				if r.random()*ties < 1 {
-					pick = s
-				}
-			}
+		c := writerChoice{router: r, request: q, strict: pass < 2, asked: pass == 0, heard: heard,
+			far: [3]float64{r.far(0), r.far(1), r.far(2)}}
+		among := r.writers
+		if c.asked {
+			among = q.asked
 		}
-		if pick != nil {
-			return pick
+		for _, s := range among {
+			c.look(s)
 		}
-		if fallback != nil {
-			return fallback
+		if c.pick != nil {
+			return c.pick
+		}
+		if s := c.fallback(among); s != nil {
+			return s
 		}
 	}
 	return nil
 }
 
+// writerChoice is the best writer so far.
+type writerChoice struct {
+	router               *Router
+	request              *request
+	strict, asked, heard bool
+	far                  [3]float64 // handicaps by distance
+
+	pick          *server
+	streams, cost float64
+	ties          float64
+}
+
+// may tells whether a writer may be picked.
+func (c *writerChoice) may(s *server) bool {
+	if s.role&Writer == 0 {
+		return false
+	}
+	one := slices.Contains(c.request.asked, s)
+	if c.asked && !(one && s.toldAt >= c.request.arrived) || one && !c.heard {
+		return false
+	}
+	return c.router.candidate(c.request, s, writing, c.strict)
+}
+
+// look compares a writer with the best so far. Whether it may be picked is looked at only where it is no
+// worse.
+func (c *writerChoice) look(s *server) {
+	r, q := c.router, c.request
+	distance := distance(q, s)
+	n := float64(s.streams)
+	if !c.asked {
+		n += c.far[distance]
+	}
+	if c.pick != nil && n > c.streams {
+		return
+	}
+	print := r.footprint(s, q.job.Prompt)
+	if s.share >= 0 && print > fitFraction || !c.may(s) {
+		return
+	}
+	cost := print
+	if !c.asked {
+		n += r.crowded(q, s)
+		cost = s.booked + streamWeight*float64(s.streams)
+	}
+	switch {
+	case c.pick == nil || n < c.streams || n == c.streams && cost < c.cost:
+		c.pick, c.streams, c.cost, c.ties = s, n, cost, 1
+	case n == c.streams && cost == c.cost:
+		c.ties++
+		if r.random()*c.ties < 1 {
+			c.pick = s
+		}
+	}
+}
+
+// fallback is the writer with the smallest resulting footprint, for when none fits.
+func (c *writerChoice) fallback(among []*server) (pick *server) {
+	least := 0.0
+	for _, s := range among {
+		print := c.router.footprint(s, c.request.job.Prompt)
+		if (pick == nil || print < least) && c.may(s) {
+			pick, least = s, print
+		}
+	}
+	return pick
+}
+
 // footprint is the share of a writer's memory with tokens more: its last report and what was sent since.
 func (r *Router) footprint(s *server, tokens float64) float64 {
 	if s.memory <= 0 {
