What is held goes out on connections heard lately, and lost answers are not waited for

Cause: that an engine takes a new connection was taken for the arrival of a send on an old one. A connection that fell silent with no error never carried it, or never brought its answer; after two such checks the attempt was waited for to the deadline, and what the reader held stayed for that long. With thousands of engines hundreds of connections rest unused for seconds, and nearly none of the losses is found by other traffic.

Change: a Send says how lately a kept connection must have brought an answer to carry it (HeardWithin): within the dial time-out where something is held, or where the wait may last longer than a state may be held; else a new one is made. An attempt that usually takes far less is called off while another can still arrive in time. A read whose end is unknown counts as ended when it was sent, not when its engine was last heard.

--- a/decide/api.go
+++ b/decide/api.go
@@ -242,7 +242,10 @@
 	After   Duration
 	// NotAfter, of Send: the last byte may not leave later; 0 is no bound.
 	NotAfter Time
-	Token    uint64
-	Fresh    bool
-	Text     string
+	// HeardWithin, of Send: a kept connection may carry it only if an answer has come on that so recently; 0: any
+	// may. A connection can fall silent with no error, and what is sent on it then never arrives.
+	HeardWithin Duration
+	Token       uint64
+	Fresh       bool
+	Text        string
 }
--- a/decide/guards.go
+++ b/decide/guards.go
@@ -53,7 +53,9 @@
 		s.sent += q.tokens
 		q.expect = writeExpected
 	}
-	r.act(Action{Kind: Send, Request: q.id, Server: s.id, After: r.capFor(q), NotAfter: r.repeatUntil(q)})
+	after := r.capFor(q)
+	r.act(Action{Kind: Send, Request: q.id, Server: s.id, After: after, NotAfter: r.repeatUntil(q),
+		HeardWithin: r.heardWithin(q, after)})
 	r.watchWait(q)
 	return true
 }
--- a/decide/liveness.go
+++ b/decide/liveness.go
@@ -4,9 +4,13 @@
 
 // Waits without a sign. What is held for a request may be held for a time, which rests only while an attempt
 // is out; and a send that the network has dropped is not out. A read may have ended, too, though its answer
-// was dropped. So before that time is over the server has to show that it can be reached, by an answer to
-// whatever, or by taking a new connection. One that is reached and hangs is waited for. At one that is not,
-// the attempt is called off, so that another server gets the request, or what is held is let go.
+// was dropped. That a server takes a new connection does not show that an old one still carries anything. So
+//
+//   - what is held goes out only on a connection that is new, or has just brought an answer (heardWithin);
+//   - before the time is over the server has to show that it can be reached, by an answer to whatever, or by
+//     taking a new connection. One that is reached and hangs is waited for. At one that is not, the attempt
+//     is called off, so that another server gets the request, or what is held is let go;
+//   - nothing that usually takes less is waited for beyond that time (waitLimit): the answer may be lost.
 
 // unsure is an attempt that waits for a sign.
 type unsure struct {
@@ -34,6 +38,25 @@
 	return r.heldUntil(max(q.sentAt, q.out.heardAt))
 }
 
+// waitLimit is how long an attempt that is sent now may be waited for where it usually takes less: if the
+// read's answer is lost, or the send is, another attempt has to arrive while what is held may be held yet.
+func (r *Router) waitLimit(q *request) Duration {
+	since := r.now
+	if q.mayHold {
+		since = q.heldAt
+	}
+	return r.heldUntil(since) - r.set.DialTimeout - tickEvery - r.now
+}
+
+// heardWithin bounds the age of the connection for an attempt that is sent now: where something is held
+// already, or the attempt is waited for for longer than what it may leave behind may be held.
+func (r *Router) heardWithin(q *request, after Duration) Duration {
+	if r.seeks() && (q.mayHold || after > r.waitLimit(q)) {
+		return r.set.DialTimeout
+	}
+	return 0
+}
+
 // seeks tells whether signs are looked for. Where they are not, every attempt counts as out.
 func (r *Router) seeks() bool { return r.set.ByArrival && r.set.Probing && r.set.MayCancel }
 
@@ -46,7 +69,7 @@
 	case o == ReadDone || o == Served || !r.seeks():
 		q.heldAt = r.now
 	case lost && (r.arrived(q) || !q.mayHold):
-		q.heldAt = max(q.sentAt, q.out.heardAt)
+		q.heldAt = q.sentAt // it may have ended at once
 	case r.arrived(q):
 		q.heldAt = r.now
 	}
--- a/decide/liveness_test.go
+++ b/decide/liveness_test.go
@@ -100,3 +100,56 @@
 		})
 	}
 }
+
+// What may be held goes out on connections that have just been heard, and is not waited for so long that a lost answer leaves
+// it held; where answers usually take so long they are waited for.
+func TestLostAnswersAreNotWaitedFor(t *testing.T) {
+	set := settings()
+	set.Probing, set.ByArrival, set.LetGoWithin = true, true, Second
+	for name, tt := range map[string]struct {
+		answer float64 // usual time of answers, over what is expected
+		again  float64
+		bound  bool
+	}{
+		"quick answers":                   {1, 2, true},
+		"quick answers, no more timeouts": {1, 0, true},
+		"slow answers":                    {12, 2, false},
+		"slow answers, no more timeouts":  {12, 0, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t, set, fleet())
+			w.r.again = tt.again
+			for _, s := range w.r.order {
+				s.answers, s.answer = slowSamples, tt.answer
+			}
+			id, acts := w.arrive(safe)
+			read := find(acts, Send)
+			most := set.LetGoWithin + 300*ms - HoldUp - set.DialTimeout
+			if got := read.After <= most; got != tt.bound {
+				t.Errorf("a read is waited for for %d ms", read.After/ms)
+			}
+			if got := read.HeardWithin == 0; got != tt.bound {
+				t.Errorf("a read that is waited for for %d ms asks for %d", read.After/ms, read.HeardWithin)
+			}
+			write := find(w.end(id, 0, read.Server, ReadDone), Send)
+			if write.HeardWithin != set.DialTimeout {
+				t.Errorf("a state went out on any connection: %+v", write)
+			}
+			if got := write.After <= most; got != tt.bound {
+				t.Errorf("a writer is waited for for %d ms", write.After/ms)
+			}
+		})
+	}
+}
+
+// A read whose end is not known may have ended as soon as it was sent.
+func TestLostReadsAreHeldFromTheirStart(t *testing.T) {
+	w, id, s, _ := waiting(t, safe, false)
+	began := w.now
+	w.now += 500 * ms
+	w.do(Event{Kind: Probed, Server: s, Fresh: true, Outcome: Served}) // it can be reached; the answer is lost all the same
+	w.end(id, 0, s, TimedOut)
+	if q := w.r.requests[id]; q == nil || q.heldAt != began {
+		t.Errorf("what the read may have left counts from %+v", q)
+	}
+}
--- a/decide/timeouts.go
+++ b/decide/timeouts.go
@@ -18,9 +18,18 @@
 	if q.stage == writing {
 		share, role = writeCap, Writer
 	}
-	if r.again < 1 || q.stage == writing && r.set.Classes[q.job.Class].Repeat == Unsafe {
+	if q.stage == writing && r.set.Classes[q.job.Class].Repeat == Unsafe {
 		return max(left, 1)
 	}
-	limit := Duration(max(share*float64(r.aim(q)), capTypical*r.usual(role, nil)*q.expect))
+	expected := r.usual(role, nil) * q.expect
+	limit := Duration(max(share*float64(r.aim(q)), capTypical*expected))
+	if r.again < 1 {
+		limit = left
+	}
+	// An answer may be lost on its way. What usually takes far less is not waited for so long that what it
+	// left is held for too long.
+	if most := r.waitLimit(q); r.seeks() && waitTypical*expected <= float64(most) {
+		limit = min(limit, most)
+	}
 	return max(min(limit, left), 1)
 }
--- a/decide/tuning.go
+++ b/decide/tuning.go
@@ -27,6 +27,7 @@
 	againMost      = 2.0         // so many at once; more tell of a short pool, not of servers
 	calmTimes      = 4.0         // times the expected is the usual answer time, at most, of a calm pool
 	capTypical     = 4.0         // times the usual are time-outs at the least, so load alone causes none
+	waitTypical    = 2.0         // times the usual at the most is what waitLimit does not cut short
 	quietTypical   = 4.0         // times the usual answer time without a sign, and at least
 	quietFloor     = 0.25        // this part of the least aim, make it suspect
 	slowTimes      = 3.0         // times the median answer time of its peers make a server suspect
--- a/internal/engine/chat/exchange.go
+++ b/internal/engine/chat/exchange.go
@@ -40,8 +40,14 @@
 	body               []byte
 	until              time.Time // zero: nothing is said of the time
 	urgent             bool
-	fresh              bool        // on a connection that has carried nothing yet
-	gate               engine.Gate // nil: nobody is asked
+	fresh              bool          // on a connection that has carried nothing yet
+	heardWithin        time.Duration // or on one that has brought an answer so recently; 0: on any
+	gate               engine.Gate   // nil: nobody is asked
+}
+
+// wants tells which connections will do for a call.
+func (q *call) wants() wanted {
+	return wanted{urgent: q.urgent, fresh: q.fresh, heardWithin: q.heardWithin}
 }
 
 // start writes a request and reads the head of its answer.
@@ -115,7 +121,7 @@
 // whole request is in the kernel before the reset comes, and nobody can tell whether it ran.
 func (x *exchange) write(addr string, q *call) error {
 	var err error
-	if x.conn, err = x.client.pool.get(x.ctx, addr, q.urgent, q.fresh); err != nil {
+	if x.conn, err = x.client.pool.get(x.ctx, addr, q.wants()); err != nil {
 		return err
 	}
 	conn := x.conn
--- a/internal/engine/chat/pool.go
+++ b/internal/engine/chat/pool.go
@@ -57,10 +57,17 @@
 
 var errLimit = errors.New("limit of connections to engines is reached")
 
-// get returns a connection that stands; fresh asks for one that has carried nothing yet. urgent has more room.
-func (p *pool) get(ctx context.Context, addr string, urgent, fresh bool) (*conn, error) {
-	for !fresh {
-		c := p.take(addr)
+// wanted tells which connections will do for a call.
+type wanted struct {
+	urgent      bool          // it has more room
+	fresh       bool          // only one that has carried nothing yet
+	heardWithin time.Duration // a kept one only if an answer has come on it so recently; 0: any
+}
+
+// get returns a connection that stands.
+func (p *pool) get(ctx context.Context, addr string, w wanted) (*conn, error) {
+	for !w.fresh {
+		c := p.take(addr, w.heardWithin)
 		if c == nil {
 			break
 		}
@@ -71,7 +78,7 @@
 		c.Close()
 	}
 	most := p.most
-	if urgent {
+	if w.urgent {
 		most += p.spare
 	}
 	if !p.reserve(most) {
@@ -127,12 +134,18 @@
 	c.idle = nil
 }
 
-// take returns an idle connection to an address, the one used last of those that have rested; nil if there is none.
-func (p *pool) take(addr string) *conn {
+// take returns an idle connection to an address, the one used last of those that have rested; nil if there is none. Of those
+// that will do, none was used longer ago than heardWithin, if that is not 0.
+func (p *pool) take(addr string, heardWithin time.Duration) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for e := p.idle.Front(); e != nil; e = e.Next() {
-		if c := e.Value.(*conn); c.addr == addr && time.Since(c.used) >= c.rest {
+		c := e.Value.(*conn)
+		age := time.Since(c.used)
+		if heardWithin > 0 && age > heardWithin {
+			return nil // the others have rested for longer
+		}
+		if c.addr == addr && age >= c.rest {
 			p.drop(c)
 			p.lend(c)
 			return c
