--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -88,6 +88,13 @@
 
 // build makes the networks, the routers' places and the engines.
 func (w *World) build() error {
+	// The networks listen on all addresses, so their ports come before any that a router is to find free.
+	if err := w.addGroups(false, min(w.opts.Readers, maxGroups)); err != nil {
+		return err
+	}
+	if err := w.addGroups(true, min(w.opts.Writers, maxGroups)); err != nil {
+		return err
+	}
 	for i := range w.opts.Routers {
 		r, err := w.newRouter(i)
 		if err != nil {
@@ -95,12 +102,6 @@
 		}
 		w.Routers = append(w.Routers, r)
 	}
-	if err := w.addGroups(false, min(w.opts.Readers, maxGroups)); err != nil {
-		return err
-	}
-	if err := w.addGroups(true, min(w.opts.Writers, maxGroups)); err != nil {
-		return err
-	}
 	if err := w.AddEngines(w.opts.Readers, false, 0); err != nil {
 		return err
 	}
