--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -6,10 +6,12 @@
 import (
 	"fmt"
 	"maps"
+	"math/rand/v2"
 	"net"
 	"os"
 	"path/filepath"
 	"slices"
+	"strconv"
 	"sync"
 	"syscall"
 	"time"
@@ -171,14 +173,24 @@
 	return r, nil
 }
 
+// The ports of routers lie under those that the kernel picks, which a network of this run or another may take on all
+// addresses.
+const (
+	firstPort = 10_000
+	lastPort  = 30_000
+)
+
 // freeAddr returns an address that nobody listens on.
-func freeAddr(host string) (string, error) {
-	l, err := net.Listen("tcp", net.JoinHostPort(host, "0"))
-	if err != nil {
-		return "", fmt.Errorf("soak: %w", err)
+func freeAddr(host string) (addr string, err error) {
+	for range 100 {
+		addr = net.JoinHostPort(host, strconv.Itoa(firstPort+rand.IntN(lastPort-firstPort)))
+		var l net.Listener
+		if l, err = net.Listen("tcp", addr); err == nil {
+			l.Close()
+			return addr, nil
+		}
 	}
-	defer l.Close()
-	return l.Addr().String(), nil
+	return "", fmt.Errorf("soak: %w", err)
 }
 
 // NewAgent starts an agent of discovery for a router.
