A reader that answers and does not explain the wait has read: that read is called off

Cause: an answer lost on a connection that fell silent leaves a state held for as long as the read is waited for. Its reader was asked for a sign twice, and that it answered was taken for a read under way; time-outs behind hung readers had made long waits look usual.

Change: at the check, a reader that answers and tells of no queue that explains the wait gets its read called off; one that hangs or explains is asked twice and then not waited for. Reads that should take long by themselves are left alone.

--- a/decide/liveness.go
+++ b/decide/liveness.go
@@ -10,7 +10,9 @@
 //   - before the time is over the server has to show that it can be reached, by an answer to whatever, or by
 //     taking a new connection. One that is reached and hangs is waited for. At one that is not, the attempt
 //     is called off, so that another server gets the request, or what is held is let go;
-//   - nothing that usually takes less is waited for beyond that time (waitLimit): the answer may be lost.
+//   - a reader that answers then, and whose queue does not explain the wait, has read: the answer is lost,
+//     and the read is called off. It may be made again, which has no effect;
+//   - no writer that usually takes less is waited for beyond that time (waitLimit).
 
 // unsure is an attempt that waits for a sign.
 type unsure struct {
@@ -83,39 +85,63 @@
 	}
 }
 
-// lookAtWaits asks the servers of attempts whose time is nearly over.
+// lookAtWaits asks the servers of attempts whose time is nearly over. A read whose reader was asked often
+// enough is called off.
 func (r *Router) lookAtWaits() {
 	r.unsure = slices.DeleteFunc(r.unsure, func(u unsure) bool { return !r.isUnsure(u) })
 	for i := range r.unsure {
 		u := &r.unsure[i]
 		s := u.request.out
-		due := r.now+r.set.DialTimeout+tickEvery >= r.signBy(u.request)
-		if due && !s.checking && u.asked < mostAsked {
+		switch {
+		case s.checking || !r.due(u.request):
+		case u.asked < mostAsked:
 			s.checking = true
 			u.asked++
 			r.act(Action{Kind: Probe, Server: s.id, Fresh: true})
+		case r.isQuickRead(u.request):
+			r.callOff(u)
 		}
 	}
 }
 
+// due tells whether the time by which an attempt's server has to give a sign is nearly over.
+func (r *Router) due(q *request) bool { return r.now+r.set.DialTimeout+tickEvery >= r.signBy(q) }
+
+// isQuickRead tells whether an attempt is a read that should take far less than what it leaves may be held.
+func (r *Router) isQuickRead(q *request) bool {
+	return q.stage == reading && waitTypical*q.expect <= float64(r.waitLimit())
+}
+
+// explains tells whether a reader has just told of a queue that explains why a read takes so long.
+func (r *Router) explains(s *server) bool {
+	return s.toldAt == r.now && 2*s.queue*r.pace >= float64(r.waitLimit())
+}
+
+func (r *Router) callOff(u *unsure) {
+	r.act(Action{Kind: Cancel, Request: u.request.id, Attempt: u.attempt})
+}
+
 // isUnsure tells whether an attempt is out that has not begun to answer.
 func (r *Router) isUnsure(u unsure) bool {
 	q := u.request
 	return !q.closed && q.out != nil && q.stage != streaming && q.attempts-1 == u.attempt
 }
 
-// reached takes in whether a server can be reached. The attempts that wait at one that can't are called off.
+// reached takes in whether a server can be reached. The attempts that wait at one that can't are called off,
+// and so are reads whose time is nearly over at a reader that answers and does not say why they take so long.
 func (r *Router) reached(s *server, ev *Event) {
 	s.checking = false
+	for i := range r.unsure {
+		u := &r.unsure[i]
+		if !r.isUnsure(*u) || u.request.out != s {
+			continue
+		}
+		lost := ev.Fresh && ev.Outcome == Served && !r.explains(s)
+		if lost && r.due(u.request) && r.isQuickRead(u.request) || ev.Outcome == ConnectFailed {
+			r.callOff(u)
+		}
+	}
 	if ev.Outcome == Served || ev.Fresh && ev.Outcome != ConnectFailed {
 		s.heardAt = r.now
 	}
-	if ev.Outcome != ConnectFailed {
-		return
-	}
-	for _, u := range r.unsure {
-		if r.isUnsure(u) && u.request.out == s {
-			r.act(Action{Kind: Cancel, Request: u.request.id, Attempt: u.attempt})
-		}
-	}
 }
--- a/decide/probing.go
+++ b/decide/probing.go
@@ -121,10 +121,11 @@
 	if !ev.Fresh {
 		s.probing = false
 	}
-	r.reached(s, ev)
 	if ev.Outcome == Served {
 		r.report(s, ev.Report)
-	} else {
+	}
+	r.reached(s, ev)
+	if ev.Outcome != Served {
 		r.bad(s, ev.Outcome == ConnectFailed)
 	}
 	r.heard()
--- a/decide/timeouts.go
+++ b/decide/timeouts.go
@@ -26,9 +26,10 @@
 	if r.again < 1 {
 		limit = left
 	}
-	// An answer may be lost on its way. What usually takes far less is not waited for so long that what it
-	// left is held for too long.
-	if most := r.waitLimit(); r.seeks() && waitTypical*expected <= float64(most) {
+	// The send may be lost on its way. A writer that usually takes far less is not waited for so long that
+	// what is held is held for too long; for readers see lookAtWaits.
+	most := r.waitLimit()
+	if q.stage == writing && r.seeks() && waitTypical*expected <= float64(most) {
 		limit = min(limit, most)
 	}
 	return max(min(limit, left), 1)
--- a/internal/standin/chat/engine.go
+++ b/internal/standin/chat/engine.go
@@ -255,7 +255,7 @@
 			c.answer(400, "")
 			return false
 		}
-		link := c.engine.opts.Cluster.passageFrom(c.RemoteAddr().String())
+		link := c.engine.opts.Cluster.passageBetween(ends{c.RemoteAddr().String(), c.LocalAddr().String()})
 		first, last := link.times()
 		a := &Attempt{Request: id, Engine: c.engine.opts.ID, Router: c.router, Writer: c.engine.opts.Writer, FirstByte: first,
 			LastByte: last, Arrived: arrived, TimeLeft: time.Duration(ms) * time.Millisecond, link: link}
--- a/internal/standin/chat/proxy.go
+++ b/internal/standin/chat/proxy.go
@@ -327,9 +327,9 @@
 	}
 	engine := c.(*net.TCPConn)
 	defer engine.Close()
-	from := engine.LocalAddr().String()
-	l := &link{proxy: p, router: router, engine: engine, passage: p.cluster.newPassage(from)}
-	defer p.cluster.forgetPassage(from, l.passage)
+	of := ends{from: engine.LocalAddr().String(), engine: engine.RemoteAddr().String()}
+	l := &link{proxy: p, router: router, engine: engine, passage: p.cluster.newPassage(of)}
+	defer p.cluster.forgetPassage(of, l.passage)
 	p.mu.Lock()
 	if p.closed {
 		p.mu.Unlock()
