What is held is let go at its time, whoever may still have the request

Cause: whether a send that shows no sign has arrived can't be known: the engine may hang, and a connection may fall silent between its dial and the last byte.

Change: when the time of what is held is nearly over it is let go while the attempt at the writer may be out. The writer has taken what it needs, or answers 410 and has not run. A read is looked at by its own time and not by when others heard its reader; at a reader that hangs then it is called off as well. Reads that were given up are called off until their engine was heard and had a second after that. The watchdog tells the guard of a hold-up that it sees first. A wait counts from when its end was posted, not from when the loop took it.

--- a/decide/liveness.go
+++ b/decide/liveness.go
@@ -8,17 +8,22 @@
 //
 //   - what is held goes out only on a connection that is new, or has just brought an answer (heardWithin);
 //   - before the time is over the server has to show that it can be reached, by an answer to whatever, or by
-//     taking a new connection. One that is reached and hangs is waited for. At one that is not, the attempt
-//     is called off, so that another server gets the request, or what is held is let go;
-//   - a reader that answers then, and whose queue does not explain the wait, has read: the answer is lost,
-//     and the read is called off. It may be made again, which has no effect;
-//   - no writer that usually takes less is waited for beyond that time (waitLimit).
+//     taking a new connection. A writer that is reached and hangs is waited for. At a server that is not, the
+//     attempt is called off, so that another gets the request, or what is held is let go;
+//   - a reader that hangs then, or answers and has no queue that explains the wait, may have read, and the
+//     answer is lost: the read is called off. It may be made again, which has no effect;
+//   - no writer that usually takes less is waited for beyond that time, if the request may be sent again
+//     (waitLimit);
+//   - when the time is over what is held is let go, though an attempt at a writer may be out. If it has come
+//     there the writer has what it needs, or says that the state is gone and has not run the request.
 
 // unsure is an attempt that waits for a sign.
 type unsure struct {
 	request *request
 	attempt int
-	asked   int // how often its server was asked for one
+	asked   int  // how often its server was asked for one
+	askedAt Time // when it was asked last
+	let     bool // what is held was let go
 }
 
 // mostAsked bounds what an attempt may cost: a server that hangs and can be reached is not asked for ever.
@@ -91,12 +96,14 @@
 	r.unsure = slices.DeleteFunc(r.unsure, func(u unsure) bool { return !r.isUnsure(u) })
 	for i := range r.unsure {
 		u := &r.unsure[i]
+		r.letGoInTime(u)
 		s := u.request.out
 		switch {
-		case s.checking || !r.due(u.request):
+		case s.checking || !r.due(u):
 		case u.asked < mostAsked:
 			s.checking = true
 			u.asked++
+			u.askedAt = r.now
 			r.act(Action{Kind: Probe, Server: s.id, Fresh: true})
 		case r.isQuickRead(u.request):
 			r.callOff(u)
@@ -104,17 +111,48 @@
 	}
 }
 
-// due tells whether the time by which an attempt's server has to give a sign is nearly over.
-func (r *Router) due(q *request) bool { return r.now+r.set.DialTimeout+tickEvery >= r.signBy(q) }
+// letGoInTime lets go of what is held for an attempt at a writer, when the time for that is nearly over.
+func (r *Router) letGoInTime(u *unsure) {
+	q := u.request
+	if q.stage != writing || !q.mayHold || u.let || r.now+tickEvery < r.heldUntil(q.heldAt) {
+		return
+	}
+	u.let = true
+	q.state, q.mayHold = nil, false
+	r.act(Action{Kind: Release, Request: q.id, WhileOut: true})
+}
+
+// due tells whether the time by which an attempt's server has to give a sign is nearly over. That it gave one
+// to others does not show that a read's answer is not lost: its reader is asked all the same.
+func (r *Router) due(u *unsure) bool {
+	q := u.request
+	by := r.signBy(q)
+	if r.isQuickRead(q) {
+		by = r.heldUntil(max(q.sentAt, u.askedAt))
+		if q.mayHold && u.asked == 0 {
+			by = min(by, r.signBy(q))
+		}
+	}
+	return r.now+r.set.DialTimeout+tickEvery >= by
+}
+
+// isLost tells whether a check of a reader shows that the answer to a read is lost. At one that hangs it may
+// have been before: the read is better made elsewhere.
+func (r *Router) isLost(q *request, check *Event) bool {
+	if !r.isQuickRead(q) || r.now-q.sentAt < r.waitLimit() {
+		return false
+	}
+	return check.Outcome == TimedOut || check.Outcome == Served && !r.explains(&check.Report)
+}
 
 // isQuickRead tells whether an attempt is a read that should take far less than what it leaves may be held.
 func (r *Router) isQuickRead(q *request) bool {
 	return q.stage == reading && waitTypical*q.expect <= float64(r.waitLimit())
 }
 
-// explains tells whether a reader has just told of a queue that explains why a read takes so long.
-func (r *Router) explains(s *server) bool {
-	return s.toldAt == r.now && 2*s.queue*r.pace >= float64(r.waitLimit())
+// explains tells whether a reader's report explains why a read takes so long: by a queue that takes so long.
+func (r *Router) explains(rep *Report) bool {
+	return 2*rep.WaitingK*thousand*r.pace >= float64(r.waitLimit())
 }
 
 func (r *Router) callOff(u *unsure) {
@@ -128,7 +166,7 @@
 }
 
 // reached takes in whether a server can be reached. The attempts that wait at one that can't are called off,
-// and so are reads whose time is nearly over at a reader that answers and does not say why they take so long.
+// and so are those whose time is nearly over at one that answers and does not say why they take so long.
 func (r *Router) reached(s *server, ev *Event) {
 	s.checking = false
 	for i := range r.unsure {
@@ -136,8 +174,7 @@
 		if !r.isUnsure(*u) || u.request.out != s {
 			continue
 		}
-		lost := ev.Fresh && ev.Outcome == Served && !r.explains(s)
-		if lost && r.due(u.request) && r.isQuickRead(u.request) || ev.Outcome == ConnectFailed {
+		if ev.Outcome == ConnectFailed || ev.Fresh && r.isLost(u.request, ev) {
 			r.callOff(u)
 		}
 	}
--- a/decide/probing.go
+++ b/decide/probing.go
@@ -121,11 +121,10 @@
 	if !ev.Fresh {
 		s.probing = false
 	}
+	r.reached(s, ev)
 	if ev.Outcome == Served {
 		r.report(s, ev.Report)
-	}
-	r.reached(s, ev)
-	if ev.Outcome != Served {
+	} else {
 		r.bad(s, ev.Outcome == ConnectFailed)
 	}
 	r.heard()
--- a/internal/engine/chat/release.go
+++ b/internal/engine/chat/release.go
@@ -18,40 +18,37 @@
 
 // CallOff lets go of what a read may have left that was given up. It waits for the read's end first: a call
 // that overtakes the closing of the read's connection would find nothing, and leave what the read then ends with. Where
-// the network keeps the closing from the engine the read goes on and ends later, so the call is made once more, and again
-// until the engine was heard, which has seen the connection end by then.
+// the network keeps the closing from the engine, or the engine hangs, the read goes on and ends later, so the call is made
+// again: see callOffUntilEnded.
 func (c *Client) CallOff(ctx context.Context, addr, request string) error {
-	var err error
-	gaveUp := time.Now()
-	for n, wait := 0, c.readEnds; n < maxCallOffs; n, wait = n+1, c.opts.CallOffAgain {
-		select {
-		case <-ctx.Done():
-			return errors.Join(err, c.letGo(ctx, addr, request)) // says what it is that was not let go
-		case <-time.After(wait):
-		}
-		heard := c.heardSince(addr, gaveUp)
-		err = errors.Join(err, c.letGo(ctx, addr, request))
-		if n > 0 && heard {
-			break
-		}
-	}
-	return err
+	return c.callOffUntilEnded(ctx, addr, request, time.Now(), c.readEnds)
 }
 
-// CallOffLater lets go of what a read may leave that was given up at some time, until its engine was heard since: by then it
-// has seen the end of the read's connection, and nothing comes after that call.
+// CallOffLater does the same for a read that was given up at some time, beside an answer that has begun.
 func (c *Client) CallOffLater(ctx context.Context, addr, request string, since time.Time) error {
+	return c.callOffUntilEnded(ctx, addr, request, since, c.opts.CallOffAgain)
+}
+
+// callOffUntilEnded lets go of what a read leaves, again and again, until its engine was heard and had some time after that: it
+// runs, and a read that was under way has ended by then, whether or not the engine has seen the end of its connection.
+func (c *Client) callOffUntilEnded(ctx context.Context, addr, request string, gaveUp time.Time, wait time.Duration) error {
 	var err error
+	heard := time.Time{} // when it was first seen that the engine was heard since then
 	for range maxCallOffs {
 		select {
 		case <-ctx.Done():
-			return err
-		case <-time.After(c.opts.CallOffAgain):
+			return errors.Join(err, c.letGo(ctx, addr, request)) // says what it is that was not let go
+		case <-time.After(wait):
 		}
-		heard := c.heardSince(addr, since)
-		if err = c.letGo(ctx, addr, request); heard {
-			break
+		began := time.Now()
+		err = c.letGo(ctx, addr, request)
+		switch {
+		case !heard.IsZero() && began.Sub(heard) >= c.opts.CallOffAgain:
+			return err
+		case heard.IsZero() && c.heardSince(addr, gaveUp):
+			heard = time.Now()
 		}
+		wait = c.opts.CallOffAgain
 	}
 	return err
 }
--- a/internal/guard/held.go
+++ b/internal/guard/held.go
@@ -44,7 +44,7 @@
 	}
 	held := now.Sub(since)
 	r.record(stepLetGo, "", "held "+held.Round(time.Millisecond).String())
-	if held > within+time.Duration(decide.HoldUp) && !r.guard.heldUp(since, now) {
+	if held > within+time.Duration(decide.HoldSlack) && !r.guard.heldUp(since, now) {
 		r.guard.violated(HeldTooLong, r, held.String())
 	}
 }
--- a/internal/router/actions.go
+++ b/internal/router/actions.go
@@ -77,7 +77,11 @@
 	case decide.Fail:
 		r.answer(f, Ending{Kind: Failed, TimedOut: f.late, Reason: "failed: " + a.Text})
 	case decide.Release:
-		r.keep.release(f)
+		if a.WhileOut {
+			r.keep.releaseWhileOut(f)
+		} else {
+			r.keep.release(f)
+		}
 	case decide.Move:
 		if f.out != nil && f.out.streaming && !f.answered() {
 			r.answer(f, Ending{Kind: Moved, Reason: "go on elsewhere"})
--- a/internal/router/holds.go
+++ b/internal/router/holds.go
@@ -29,6 +29,7 @@
 	unwanted(f *flight, p *place)            // a place was given up for another
 	lateWord(f *flight, m *message)          // on a place that is not the request's; f is nil when that is over
 	release(f *flight)                       // the module lets go of what no attempt waits on
+	releaseWhileOut(f *flight)               // the module lets go of what an attempt at a writer may wait on
 	begun(f *flight)                         // the answer has begun
 	over(f *flight)                          // nothing more is sent for the request
 	orphaned(a *attempt, res *engine.Result) // an attempt has ended after the loop; nobody else will let go
@@ -83,6 +84,8 @@
 	}
 }
 
+func (k leased) releaseWhileOut(*flight) {} // a lease lasts for as long as the attempt
+
 func (k leased) begun(*flight) {}
 
 func (k leased) ended(*attempt, *engine.Result) {}
@@ -111,6 +114,15 @@
 func (k byRequest) unwanted(f *flight, _ *place) { f.owed = true }
 func (k byRequest) release(f *flight)            { f.owed = f.owed || f.state != nil || f.place != nil }
 
+// releaseWhileOut lets go now. The request's end lets go once more, of whatever the attempt has left.
+func (k byRequest) releaseWhileOut(f *flight) {
+	f.guarded().LetGo(time.Duration(k.r.cfg.Settings.LetGoWithin))
+	if s := f.state; s != nil {
+		k.r.letGo(f.name, s)
+		f.state, f.owed = nil, true
+	}
+}
+
 // lateWord: that a place is not held may mean that its engine does not know.
 func (k byRequest) lateWord(f *flight, m *message) {
 	if f != nil {
--- a/internal/router/loop.go
+++ b/internal/router/loop.go
@@ -208,9 +208,9 @@
 		r.timers.remove(m.a.renewal)
 		r.timers.remove(f.guard)
 		r.tell(&decide.Event{Kind: decide.FirstToken, Request: f.id, Server: m.a.server, Attempt: m.a.number,
-			Spent: r.now - m.a.sentAt, Report: engine.Untold()}, f)
+			Spent: r.at(m.posted) - m.a.sentAt, Report: engine.Untold()}, f)
 	case attemptEnded:
-		r.attemptEnded(m.a, &m.res)
+		r.attemptEnded(m)
 	case listed:
 		r.listed(&m.update)
 	case probed:
@@ -268,7 +268,8 @@
 
 // attemptEnded books an attempt's outcome and tells it. The module hears of it also when the request has
 // its answer already, since its books still hold the attempt.
-func (r *Router) attemptEnded(a *attempt, res *engine.Result) {
+func (r *Router) attemptEnded(m *message) {
+	a, res := m.a, &m.res
 	f := a.flight
 	r.timers.remove(a.limit)
 	r.timers.remove(a.renewal)
@@ -287,7 +288,7 @@
 	}
 	r.tell(&decide.Event{Kind: decide.Ended, Request: f.id, Server: a.server, Attempt: a.number,
 		Outcome: res.Outcome, Closed: f.answered(), NoState: res.NoState, Kept: res.Kept,
-		Spent: r.now - a.sentAt, Report: res.Report}, f)
+		Spent: r.at(m.posted) - a.sentAt, Report: res.Report}, f)
 }
 
 // endStream answers a request whose answer had begun: nothing can be tried again.
--- a/internal/router/request.go
+++ b/internal/router/request.go
@@ -147,11 +147,15 @@
 // watch begins to look after the deadline beside the loop: however long that takes for what comes before, the request gets its
 // answer.
 func (q *Request) watch() {
-	q.watchdog = time.AfterFunc(time.Until(q.job.Deadline)+time.Duration(decide.LostAfter), q.expire)
+	due := q.job.Deadline.Add(time.Duration(decide.LostAfter))
+	q.watchdog = time.AfterFunc(time.Until(due), func() { q.expire(due) })
 }
 
-// expire answers a request that the loop has left without an answer.
-func (q *Request) expire() {
+// expire answers a request that the loop has left without an answer up to a time.
+func (q *Request) expire(due time.Time) {
+	if late := time.Since(due); late > time.Duration(decide.HoldUp) {
+		q.router.cfg.Guard.HeldUp(late)
+	}
 	if !q.job.Guarded.Expire(noAnswer) {
 		return
 	}
