--- a/decide/limits.go
+++ b/decide/limits.go
@@ -17,8 +17,8 @@
 	LeaveGrace = 100 * Second / 1000
 	// LateAnswer is how long after its deadline a final answer may come; it earns nothing then.
 	LateAnswer = 500 * Second / 1000
-	// HoldSlack is how much longer than the settings say something may be held before the call that lets go of
-	// it is made: sockets add 300 ms, and the call takes some of them.
+	// HoldSlack is how much longer than the settings say something may be held before the call that lets go
+	// of it is made: sockets add 300 ms, and the call takes some of them.
 	HoldSlack = 250 * Second / 1000
 	// DeadlineSlack is how much more time than its client has left a server may be told.
 	DeadlineSlack = 150 * Second / 1000
