Reads that were given up are called off for ten seconds, whoever hears their engine

Cause: the calls ended once the engine had been heard.

Change: the call is made ten times, a second apart.

--- a/internal/engine/chat/chat.go
+++ b/internal/engine/chat/chat.go
@@ -40,7 +40,7 @@
 	hedgePause  = 15 * time.Millisecond
 	maxHedged   = 6
 	readEnds    = 30 * time.Millisecond // a read that was given up ends within this time, or has ended well
-	maxCallOffs = 10                    // calls for one read that was given up, while its engine is not heard
+	maxCallOffs = 10                    // calls for one read that was given up
 	expireEvery = time.Second
 	standsAfter = 2 * time.Millisecond // the last byte of a request is held back for so long
 	connTries   = 3                    // connections for one attempt, while none has brought the request
--- a/internal/engine/chat/release.go
+++ b/internal/engine/chat/release.go
@@ -18,48 +18,31 @@
 
 // CallOff lets go of what a read may have left that was given up. It waits for the read's end first: a call
 // that overtakes the closing of the read's connection would find nothing, and leave what the read then ends with. Where
-// the network keeps the closing from the engine, or the engine hangs, the read goes on and ends later, so the call is made
-// again: see callOffUntilEnded.
+// the network keeps the closing from the engine, or the engine hangs, the read goes on and ends later. That the engine
+// answers others does not show that it has ended. So the call is made again and again for a while.
 func (c *Client) CallOff(ctx context.Context, addr, request string) error {
-	return c.callOffUntilEnded(ctx, addr, request, time.Now(), c.readEnds)
+	return c.callOff(ctx, addr, request, c.readEnds)
 }
 
-// CallOffLater does the same for a read that was given up at some time, beside an answer that has begun.
-func (c *Client) CallOffLater(ctx context.Context, addr, request string, since time.Time) error {
-	return c.callOffUntilEnded(ctx, addr, request, since, c.opts.CallOffAgain)
+// CallOffLater does the same for a read whose request has an answer that has begun: what is known is let go already.
+func (c *Client) CallOffLater(ctx context.Context, addr, request string) error {
+	return c.callOff(ctx, addr, request, c.opts.CallOffAgain)
 }
 
-// callOffUntilEnded lets go of what a read leaves, again and again, until its engine was heard and had some time after that: it
-// runs, and a read that was under way has ended by then, whether or not the engine has seen the end of its connection.
-func (c *Client) callOffUntilEnded(ctx context.Context, addr, request string, gaveUp time.Time, wait time.Duration) error {
+func (c *Client) callOff(ctx context.Context, addr, request string, wait time.Duration) error {
 	var err error
-	heard := time.Time{} // when it was first seen that the engine was heard since then
 	for range maxCallOffs {
 		select {
 		case <-ctx.Done():
 			return errors.Join(err, c.letGo(ctx, addr, request)) // says what it is that was not let go
 		case <-time.After(wait):
 		}
-		began := time.Now()
 		err = c.letGo(ctx, addr, request)
-		switch {
-		case !heard.IsZero() && began.Sub(heard) >= c.opts.CallOffAgain:
-			return err
-		case heard.IsZero() && c.heardSince(addr, gaveUp):
-			heard = time.Now()
-		}
 		wait = c.opts.CallOffAgain
 	}
 	return err
 }
 
-// heardSince tells whether an engine has answered something since a time.
-func (c *Client) heardSince(addr string, since time.Time) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.heard[addr].After(since)
-}
-
 // GiveUpPlace lets go of a place; the protocol has one call for all that is held.
 func (c *Client) GiveUpPlace(ctx context.Context, addr, request string) error {
 	return c.letGo(ctx, addr, request)
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -390,7 +390,7 @@
 }
 
 // CallOffLater does nothing: CallOff names the read, and is made when it is given up.
-func (c *Client) CallOffLater(context.Context, string, string, time.Time) error { return nil }
+func (c *Client) CallOffLater(context.Context, string, string) error { return nil }
 
 // GiveUpPlace lets go of a place held ahead.
 func (c *Client) GiveUpPlace(ctx context.Context, addr, request string) error {
--- a/internal/router/holds.go
+++ b/internal/router/holds.go
@@ -110,7 +110,7 @@
 
 func (k byRequest) sent(*attempt)                {}
 func (k byRequest) renew(*attempt)               {}
-func (k byRequest) lost(f *flight, addr string)  { f.lost = append(f.lost, lostRead{addr, time.Now()}) }
+func (k byRequest) lost(f *flight, addr string)  { f.lost = append(f.lost, addr) }
 func (k byRequest) unwanted(f *flight, _ *place) { f.owed = true }
 func (k byRequest) release(f *flight)            { f.owed = f.owed || f.state != nil || f.place != nil }
 
@@ -154,7 +154,7 @@
 	}
 	f.guarded().LetGo(time.Duration(k.r.cfg.Settings.LetGoWithin))
 	if n := len(f.lost); n > 0 {
-		k.r.callOff(f.lost[n-1].addr, f.name) // also lets go of what is known
+		k.r.callOff(f.lost[n-1], f.name) // also lets go of what is known
 		k.stillLost(f, f.lost[:n-1])
 		return
 	}
@@ -175,10 +175,10 @@
 }
 
 // stillLost sees to reads that may end yet, as their engines have not seen the ends of their connections.
-func (k byRequest) stillLost(f *flight, reads []lostRead) {
-	for _, l := range reads {
-		k.r.aside(notCalledOff, f.name, l.addr, func() error {
-			return k.r.cfg.Engines.CallOffLater(k.r.workCtx, l.addr, f.name, l.at)
+func (k byRequest) stillLost(f *flight, reads []string) {
+	for _, addr := range reads {
+		k.r.aside(notCalledOff, f.name, addr, func() error {
+			return k.r.cfg.Engines.CallOffLater(k.r.workCtx, addr, f.name)
 		})
 	}
 }
--- a/internal/router/table.go
+++ b/internal/router/table.go
@@ -1,8 +1,6 @@
 package router
 
 import (
-	"time"
-
 	"mintdoor/decide"
 	"mintdoor/internal/engine"
 	"mintdoor/internal/guard"
@@ -19,18 +17,12 @@
 	guard    *entry        // answers at the deadline if nobody else did
 	state    *engine.State // waits at an engine for this request
 	place    *place        // asked for or held ahead
-	lost     []lostRead    // reads that may have left a state nobody heard of, or may leave one yet
+	lost     []string      // addresses of engines whose reads may have left a state nobody heard of, or may leave one yet
 	owed     bool          // ByRequest: something of it is to be let go at its end
 	lastErr  error         // of the last attempt that failed
 	late     bool          // the last attempt that failed timed out
 }
 
-// lostRead is a read that was given up, or broke, with no word on what it left.
-type lostRead struct {
-	addr string
-	at   time.Time
-}
-
 // place is a place ahead at a writer.
 type place struct {
 	server decide.ServerID
