--- a/internal/router/holds.go
+++ b/internal/router/holds.go
@@ -141,7 +141,7 @@
 		held.Consumed()
 	case res.Outcome == decide.ReadDone:
 		held.Held(time.Now())
-	case a.prefill && !answered(res.Outcome) && a.guarded.HasSent(): // as far as is known it was out
+	case a.prefill && res.Outcome != decide.Error && !answered(res.Outcome) && a.guarded.HasSent(): // as far as is known it was out
 		held.Held(time.Now())
 	case a.guarded.HasSent():
 		held.Used()
--- a/internal/soak/faults_processes.go
+++ b/internal/soak/faults_processes.go
@@ -164,8 +164,14 @@
 // oldAgent is how long an agent goes on with its open calls after a router was told of another.
 const oldAgent = 1500 * time.Millisecond
 
+// noSignalBefore is how long a process was ready before it gets SIGHUP.
+const noSignalBefore = time.Second
+
 // move tells a router of a new agent; the old one takes no new connection, and ends a while later.
 func (in *injector) move(r *Router) {
+	if !r.readyFor(noSignalBefore) {
+		return
+	}
 	a, err := in.world.NewAgent(r.Index)
 	if err != nil {
 		return
--- a/internal/soak/router.go
+++ b/internal/soak/router.go
@@ -167,6 +167,13 @@
 	r.cmd.Process.Signal(s)
 }
 
+// readyFor tells whether the process that runs now has been ready for some time.
+func (r *Router) readyFor(d time.Duration) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.life != nil && r.life.Exited.IsZero() && !r.life.Ready.IsZero() && time.Since(r.life.Ready) >= d
+}
+
 // Wait waits until the process has ended.
 func (r *Router) Wait() {
 	r.mu.Lock()
