--- a/internal/soak/faults_processes.go
+++ b/internal/soak/faults_processes.go
@@ -93,7 +93,7 @@
 	select {
 	case <-r.Ended():
 		in.count("ended before the kill", 1)
-	case <-time.After(time.Until(terminated.Add(in.kills + between(random, 0, millis(300))))):
+	case <-time.After(time.Until(terminated.Add(in.kills))):
 		in.count("killed after SIGTERM", 1)
 		r.Signal(syscall.SIGKILL)
 		r.Wait()
@@ -107,12 +107,16 @@
 func (in *injector) troubleInShutdown(r *Router, random *rand.Rand) {
 	for range random.IntN(4) {
 		time.Sleep(between(random, 0, millis(900)))
-		if random.IntN(2) == 0 {
+		switch random.IntN(3) {
+		case 0:
 			in.count("held up in a shutdown", 1)
 			in.pause(r, between(random, millis(20), millis(150)))
-		} else {
+		case 1:
 			in.count("SIGHUP in a shutdown", 1)
 			in.move(r)
+		default:
+			in.count("SIGTERM in a shutdown", 1)
+			r.Signal(syscall.SIGTERM)
 		}
 	}
 }
--- a/internal/soak/traffic.go
+++ b/internal/soak/traffic.go
@@ -206,8 +206,7 @@
 	lateFresh    = 4 // connections that have brought no request when the signal comes
 	lateNew      = 3 // connections that come up to newWithin after it
 	newWithin    = 400 * time.Millisecond
-	lateWithin   = 1500 * time.Millisecond // after the signal requests come on those
-	restedWithin = 3600 * time.Millisecond // and on connections that rested
+	lateWithin   = 1500 * time.Millisecond // after the signal requests come on those; half of them come up to the kill
 )
 
 // aroundShutdown has clients at a router that is about to be told to end: some have just connected, some connect yet, and all
@@ -225,14 +224,21 @@
 	delete(t.idle, r.Index)
 	t.mu.Unlock()
 	signal()
+	killed := killAfter(t.world.opts.classes)
+	late := func() time.Duration {
+		if random.IntN(2) == 0 {
+			return at(killed)
+		}
+		return at(lateWithin)
+	}
 	for _, c := range conns {
-		t.sendLate(c, at(lateWithin))
+		t.sendLate(c, late())
 	}
 	for _, c := range rested {
-		t.sendLate(c, at(restedWithin))
+		t.sendLate(c, at(killed))
 	}
 	for range lateNew {
-		dialAfter, sendAfter := at(newWithin), at(lateWithin)
+		dialAfter, sendAfter := at(newWithin), late()
 		t.spawn(func(random *rand.Rand) {
 			time.Sleep(dialAfter)
 			if c, err := dial(r); err == nil {
