--- a/internal/soak/traffic.go
+++ b/internal/soak/traffic.go
@@ -203,10 +203,10 @@
 
 // Clients at a shutdown.
 const (
-	lateFresh    = 4 // connections that have brought no request when the signal comes
-	lateNew      = 3 // connections that come up to newWithin after it
-	newWithin    = 400 * time.Millisecond
-	lateWithin   = 1500 * time.Millisecond // after the signal requests come on those; half of them come up to the kill
+	lateFresh  = 4 // connections that have brought no request when the signal comes
+	lateNew    = 3 // connections that come up to newWithin after it
+	newWithin  = 400 * time.Millisecond
+	lateWithin = 1500 * time.Millisecond // after the signal requests come on those; half of them come up to the kill
 )
 
 // aroundShutdown has clients at a router that is about to be told to end: some have just connected, some connect yet, and all
