Releases begin at an engine heard lately, know all that are listed, and make one series a request

Change: a call begins at the holder only if that was heard in the last 0.15 s, else at the engine heard last; the first two tries may go on kept connections; when all that were heard are tried, any listed engine is.

--- a/internal/engine/chat/chat.go
+++ b/internal/engine/chat/chat.go
@@ -71,8 +71,9 @@
 	opts Options
 	pool *pool
 
-	mu    sync.Mutex
-	heard map[string]time.Time // when an engine answered last
+	mu     sync.Mutex
+	heard  map[string]time.Time // when an engine answered last
+	listed map[string]struct{}  // engines that are there
 
 	readEnds, restFor, firstTry, closeArrives time.Duration // the constants; tests change them
 }
@@ -83,7 +84,7 @@
 		opts.Log = slog.New(slog.DiscardHandler)
 	}
 	return &Client{opts: opts, readEnds: readEnds, restFor: restFor, firstTry: firstTry,
-		closeArrives: closeArrives, heard: map[string]time.Time{}, pool: &pool{dialTimeout: opts.DialTimeout,
+		closeArrives: closeArrives, heard: map[string]time.Time{}, listed: map[string]struct{}{}, pool: &pool{dialTimeout: opts.DialTimeout,
 			keep: opts.ConnIdle, standsAfter: standsAfter, most: opts.MaxConns, spare: opts.SpareConns}}
 }
 
@@ -105,10 +106,18 @@
 // Close closes idle connections.
 func (c *Client) Close() { c.pool.forget("") }
 
+// Listed notes that an engine is there.
+func (c *Client) Listed(addr string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.listed[addr] = struct{}{}
+}
+
 // Forget drops what is kept for an engine that is gone, or whose process is another now.
 func (c *Client) Forget(addr string) {
 	c.mu.Lock()
 	delete(c.heard, addr)
+	delete(c.listed, addr)
 	c.mu.Unlock()
 	c.pool.forget(addr)
 }
--- a/internal/engine/chat/chat_test.go
+++ b/internal/engine/chat/chat_test.go
@@ -618,3 +618,24 @@
 		t.Errorf("%d connections were made, want 2", n)
 	}
 }
+
+// What is held at an engine that is gone is let go at another that is listed, also when none was ever heard.
+func TestReleaseAtAnEngineNeverHeard(t *testing.T) {
+	gone, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr := gone.Addr().String()
+	gone.Close() // nobody answers there
+	p := play(t, true, always("HTTP/1.1 204 x\r\n\r\n"))
+	c := newClient(t, nil)
+	c.Listed(addr)
+	c.Listed(p.addr)
+	if err := c.Release(t.Context(), &engine.State{Addr: addr, Handle: "id1"}); err != nil {
+		t.Error(err)
+	}
+	c.Forget(p.addr)
+	if len(c.listed) != 1 {
+		t.Errorf("%d engines are listed", len(c.listed))
+	}
+}
--- a/internal/engine/chat/release.go
+++ b/internal/engine/chat/release.go
@@ -43,6 +43,13 @@
 	return err
 }
 
+// heardSince tells whether an engine has answered something since a time.
+func (c *Client) heardSince(addr string, since time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.heard[addr].After(since)
+}
+
 // GiveUpPlace lets go of a place; the protocol has one call for all that is held.
 func (c *Client) GiveUpPlace(ctx context.Context, addr, request string) error {
 	return c.letGo(ctx, addr, request)
@@ -51,12 +58,16 @@
 // Renew does nothing: the protocol's engines hold a state until it is let go.
 func (c *Client) Renew(context.Context, *engine.State) error { return nil }
 
-// letGo takes the call to the engine at addr, and to others of those that answered last as long as none has taken it:
-// one more each hedgeAfter, or at once when one fails. What is held has to be let go within a time that a few silent
-// engines, one after the other, would use up (a zone that is cut off).
+// keptTries is how many engines are tried on kept connections; those may have fallen silent, all of them.
+const keptTries = 2
+
+// letGo takes the call to an engine, and to others as long as none has taken it: one more each hedgeAfter, or at once when one
+// fails. Any engine that runs takes it for all. First comes the engine at addr if it was heard lately, else one that was; then
+// those that answered last, and then any that is listed: most may be silent. What is held has to be let go within a time that a
+// few silent engines, one after the other, would use up (a zone that is cut off).
 func (c *Client) letGo(ctx context.Context, addr, request string) error {
 	ctx, cancel := context.WithTimeout(ctx, c.opts.ReleaseWithin)
-	began, first := time.Now(), addr
+	began := time.Now()
 	type result struct {
 		addr string
 		err  error
@@ -71,6 +82,15 @@
 	}()
 	var last error
 	tried := map[string]bool{}
+	next := func() string {
+		if addr != "" && !tried[addr] && (len(tried) > 0 || c.heardSince(addr, began.Add(-c.firstTry))) {
+			return addr
+		}
+		if other := c.other(tried); other != "" || tried[addr] {
+			return other
+		}
+		return addr
+	}
 	hedge := time.NewTimer(0)
 	defer hedge.Stop()
 	for {
@@ -80,7 +100,7 @@
 		case res := <-results:
 			pending--
 			if res.err == nil {
-				c.opts.Log.Info("let go", "request", request, "asked first", first, "taken by", res.addr, "engines asked", len(tried),
+				c.opts.Log.Info("let go", "request", request, "held at", addr, "taken by", res.addr, "engines asked", len(tried),
 					"after", time.Since(began))
 				return nil
 			}
@@ -90,18 +110,17 @@
 			if pending == maxHedged {
 				continue // the first that ends makes room
 			}
-			if addr == "" {
+			to := next()
+			if to == "" {
 				clear(tried) // all once more
 				hedge.Reset(hedgePause)
-			} else {
-				tried[addr] = true
-				pending++
-				// A kept connection may have fallen silent, and all of them may have: only the first try goes on one.
-				fresh := len(tried) > 1
-				go func(addr string) { results <- result{addr, c.release(ctx, addr, request, fresh)} }(addr)
-				hedge.Reset(hedgeAfter)
+				continue
 			}
-			addr = c.other(tried)
+			tried[to] = true
+			pending++
+			fresh := len(tried) > keptTries
+			go func() { results <- result{to, c.release(ctx, to, request, fresh)} }()
+			hedge.Reset(hedgeAfter)
 		}
 	}
 }
@@ -125,7 +144,7 @@
 	return nil
 }
 
-// other returns the engine that answered last of those not tried yet; "" if there is none.
+// other returns the engine that answered last of those not tried yet, or else any that is listed; "" if there is none.
 func (c *Client) other(tried map[string]bool) string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -135,5 +154,13 @@
 			best, at = addr, t
 		}
 	}
-	return best
+	if best != "" {
+		return best
+	}
+	for addr := range c.listed { // in no order
+		if !tried[addr] {
+			return addr
+		}
+	}
+	return ""
 }
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -389,6 +389,9 @@
 	return c.insist(ctx, http.MethodDelete, addr, RequestPath+url.PathEscape(request))
 }
 
+// Listed does nothing: what is held is let go where it is.
+func (c *Client) Listed(string) {}
+
 // CallOffLater does nothing: CallOff names the read, and is made when it is given up.
 func (c *Client) CallOffLater(context.Context, string, string) error { return nil }
 
--- a/internal/router/holds.go
+++ b/internal/router/holds.go
@@ -22,17 +22,17 @@
 
 // keeper sees to what engines hold for requests. All but orphaned is called by the loop.
 type keeper interface {
-	sent(a *attempt)                         // an attempt goes out
-	renew(a *attempt)                        // what sent asked for has fallen due
-	lost(f *flight, addr string)             // a read has ended, and nobody knows what it left there
-	ended(a *attempt, res *engine.Result)    // an attempt has ended
-	unwanted(f *flight, p *place)            // a place was given up for another
-	lateWord(f *flight, m *message)          // on a place that is not the request's; f is nil when that is over
-	release(f *flight)                       // the module lets go of what no attempt waits on
-	releaseWhileOut(f *flight)               // the module lets go of what an attempt at a writer may wait on
-	begun(f *flight)                         // the answer has begun
-	over(f *flight)                          // nothing more is sent for the request
-	orphaned(a *attempt, res *engine.Result) // an attempt has ended after the loop; nobody else will let go
+	sent(a *attempt)                               // an attempt goes out
+	renew(a *attempt)                              // what sent asked for has fallen due
+	lost(f *flight, addr string, o decide.Outcome) // a read has ended, and nobody knows what it left there
+	ended(a *attempt, res *engine.Result)          // an attempt has ended
+	unwanted(f *flight, p *place)                  // a place was given up for another
+	lateWord(f *flight, m *message)                // on a place that is not the request's; f is nil when that is over
+	release(f *flight)                             // the module lets go of what no attempt waits on
+	releaseWhileOut(f *flight)                     // the module lets go of what an attempt at a writer may wait on
+	begun(f *flight)                               // the answer has begun
+	over(f *flight)                                // nothing more is sent for the request
+	orphaned(a *attempt, res *engine.Result)       // an attempt has ended after the loop; nobody else will let go
 }
 
 // leased keeps states under leases.
@@ -62,7 +62,7 @@
 
 // lost calls the read off: its engine may have finished it in the same moment, and nobody knows that state's
 // name.
-func (k leased) lost(f *flight, addr string) { k.r.callOff(addr, f.name) }
+func (k leased) lost(f *flight, addr string, _ decide.Outcome) { k.r.callOff(addr, f.name) }
 
 func (k leased) unwanted(f *flight, p *place) { k.r.giveUpPlace(f.name, p) }
 
@@ -110,7 +110,6 @@
 
 func (k byRequest) sent(*attempt)                {}
 func (k byRequest) renew(*attempt)               {}
-func (k byRequest) lost(f *flight, addr string)  { f.lost = append(f.lost, addr) }
 func (k byRequest) unwanted(f *flight, _ *place) { f.owed = true }
 func (k byRequest) release(f *flight)            { f.owed = f.owed || f.state != nil || f.place != nil }
 
@@ -132,6 +131,15 @@
 	}
 }
 
+// lost: a read that its engine has failed has ended, and one call lets go of whatever it has left.
+func (k byRequest) lost(f *flight, addr string, o decide.Outcome) {
+	if o == decide.Error {
+		f.owed = true
+		return
+	}
+	f.lost = addr
+}
+
 // ended notes for the guard since when what is held waits for an attempt: from a read's end up to an attempt at a writer that has
 // reached it.
 func (k byRequest) ended(a *attempt, res *engine.Result) {
@@ -153,9 +161,8 @@
 		return // the loop stops; the attempt is orphaned
 	}
 	f.guarded().LetGo(time.Duration(k.r.cfg.Settings.LetGoWithin))
-	if n := len(f.lost); n > 0 {
-		k.r.callOff(f.lost[n-1], f.name) // also lets go of what is known
-		k.stillLost(f, f.lost[:n-1])
+	if f.lost != "" {
+		k.r.callOff(f.lost, f.name) // also lets go of what is known, and of what other lost reads have left
 		return
 	}
 	switch {
@@ -168,19 +175,17 @@
 	}
 }
 
-// begun: a first token lets go of all that is held by then.
+// begun: a first token lets go of all that is held by then. Reads may end yet, as their engines have not seen the ends of their
+// connections.
 func (k byRequest) begun(f *flight) {
-	k.stillLost(f, f.lost)
-	f.lost = nil
-}
-
-// stillLost sees to reads that may end yet, as their engines have not seen the ends of their connections.
-func (k byRequest) stillLost(f *flight, reads []string) {
-	for _, addr := range reads {
-		k.r.aside(notCalledOff, f.name, addr, func() error {
-			return k.r.cfg.Engines.CallOffLater(k.r.workCtx, addr, f.name)
-		})
+	addr := f.lost
+	if addr == "" {
+		return
 	}
+	f.lost = ""
+	k.r.aside(notCalledOff, f.name, addr, func() error {
+		return k.r.cfg.Engines.CallOffLater(k.r.workCtx, addr, f.name)
+	})
 }
 
 func (k byRequest) orphaned(a *attempt, res *engine.Result) {
--- a/internal/router/loop.go
+++ b/internal/router/loop.go
@@ -261,7 +261,7 @@
 	a.guarded.End(outcomeName(res.Outcome), res.Err)
 	a.flight.end(a, res)
 	if a.prefill && !answered(res.Outcome) {
-		r.keep.lost(a.flight, a.addr)
+		r.keep.lost(a.flight, a.addr, res.Outcome)
 	}
 	r.keep.ended(a, res)
 }
@@ -347,6 +347,7 @@
 			s.role = r.cfg.Settings.Kinds[k].Role
 		}
 		r.servers[e.ID()] = s
+		r.cfg.Engines.Listed(e.Addr)
 	}
 	for i := range r.list {
 		if r.list[i].State == decide.Ready {
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -141,6 +141,8 @@
 	return nil
 }
 
+func (f *fakeEngines) Listed(string) {}
+
 func (f *fakeEngines) Forget(addr string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/router/table.go
+++ b/internal/router/table.go
@@ -17,7 +17,7 @@
 	guard    *entry        // answers at the deadline if nobody else did
 	state    *engine.State // waits at an engine for this request
 	place    *place        // asked for or held ahead
-	lost     []string      // addresses of engines whose reads may have left a state nobody heard of, or may leave one yet
+	lost     string        // address of the last engine whose read may have left a state nobody heard of, or may leave one yet
 	owed     bool          // ByRequest: something of it is to be let go at its end
 	lastErr  error         // of the last attempt that failed
 	late     bool          // the last attempt that failed timed out
