--- a/decide/liveness.go
+++ b/decide/liveness.go
@@ -139,7 +139,7 @@
 // isLost tells whether a check of a reader shows that the answer to a read is lost. At one that hangs it may
 // have been before: the read is better made elsewhere.
 func (r *Router) isLost(q *request, check *Event) bool {
-	if !r.isQuickRead(q) || r.now-q.sentAt < r.waitLimit() {
+	if !r.isQuickRead(q) || r.now-q.sentAt < r.waitLimit()-tickEvery {
 		return false
 	}
 	return check.Outcome == TimedOut || check.Outcome == Served && !r.explains(&check.Report)
--- a/internal/engine/chat/chat.go
+++ b/internal/engine/chat/chat.go
@@ -12,6 +12,7 @@
 	"io"
 	"log/slog"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"mintdoor/decide"
@@ -39,6 +40,7 @@
 	hedgeAfter  = 30 * time.Millisecond
 	hedgePause  = 15 * time.Millisecond
 	maxHedged   = 6
+	maxHedges   = 32                    // of all releases together; one of each may always be under way
 	readEnds    = 30 * time.Millisecond // a read that was given up ends within this time, or has ended well
 	maxCallOffs = 10                    // calls for one read that was given up
 	expireEvery = time.Second
@@ -74,6 +76,7 @@
 	mu     sync.Mutex
 	heard  map[string]time.Time // when an engine answered last
 	listed map[string]struct{}  // engines that are there
+	hedges atomic.Int32         // calls of releases that are under way
 
 	readEnds, restFor, firstTry, closeArrives time.Duration // the constants; tests change them
 }
--- a/internal/engine/chat/release.go
+++ b/internal/engine/chat/release.go
@@ -13,7 +13,7 @@
 // Release lets go of all that is held for a request. Any engine that runs takes the call for all of them, so
 // it is tried at others when the one that holds it does not answer.
 func (c *Client) Release(ctx context.Context, s *engine.State) error {
-	return c.letGo(ctx, s.Addr, s.Handle)
+	return c.letGo(ctx, s.Addr, s.Handle, hedgeAfter)
 }
 
 // CallOff lets go of what a read may have left that was given up. It waits for the read's end first: a call
@@ -31,14 +31,15 @@
 
 func (c *Client) callOff(ctx context.Context, addr, request string, wait time.Duration) error {
 	var err error
+	after := hedgeAfter
 	for range maxCallOffs {
 		select {
 		case <-ctx.Done():
-			return errors.Join(err, c.letGo(ctx, addr, request)) // says what it is that was not let go
+			return errors.Join(err, c.letGo(ctx, addr, request, after)) // says what it is that was not let go
 		case <-time.After(wait):
 		}
-		err = c.letGo(ctx, addr, request)
-		wait = c.opts.CallOffAgain
+		err = c.letGo(ctx, addr, request, after)
+		wait, after = c.opts.CallOffAgain, c.firstTry // there may be many such calls, and most find nothing
 	}
 	return err
 }
@@ -52,7 +53,7 @@
 
 // GiveUpPlace lets go of a place; the protocol has one call for all that is held.
 func (c *Client) GiveUpPlace(ctx context.Context, addr, request string) error {
-	return c.letGo(ctx, addr, request)
+	return c.letGo(ctx, addr, request, hedgeAfter)
 }
 
 // Renew does nothing: the protocol's engines hold a state until it is let go.
@@ -61,11 +62,11 @@
 // keptTries is how many engines are tried on kept connections; those may have fallen silent, all of them.
 const keptTries = 2
 
-// letGo takes the call to an engine, and to others as long as none has taken it: one more each hedgeAfter, or at once when one
-// fails. Any engine that runs takes it for all. First comes the engine at addr if it was heard lately, else one that was; then
+// letGo takes the call to an engine, and to others as long as none has taken it: one more after each such time, or at once when one
+// fails; of all calls together maxHedges are at others at a time. Any engine that runs takes it for all. First comes the engine at addr if it was heard lately, else one that was; then
 // those that answered last, and then any that is listed: most may be silent. What is held has to be let go within a time that a
 // few silent engines, one after the other, would use up (a zone that is cut off).
-func (c *Client) letGo(ctx context.Context, addr, request string) error {
+func (c *Client) letGo(ctx context.Context, addr, request string, hedgeAfter time.Duration) error {
 	ctx, cancel := context.WithTimeout(ctx, c.opts.ReleaseWithin)
 	began := time.Now()
 	type result struct {
@@ -110,6 +111,10 @@
 			if pending == maxHedged {
 				continue // the first that ends makes room
 			}
+			if pending > 0 && c.hedges.Load() >= maxHedges {
+				hedge.Reset(hedgeAfter)
+				continue
+			}
 			to := next()
 			if to == "" {
 				clear(tried) // all once more
@@ -119,7 +124,11 @@
 			tried[to] = true
 			pending++
 			fresh := len(tried) > keptTries
-			go func() { results <- result{to, c.release(ctx, to, request, fresh)} }()
+			c.hedges.Add(1)
+			go func() {
+				defer c.hedges.Add(-1)
+				results <- result{to, c.release(ctx, to, request, fresh)}
+			}()
 			hedge.Reset(hedgeAfter)
 		}
 	}
