A read that should take long is lost when its reader tells of no queue any more

Change: where the reader tells of its queue, and the read has taken longer than was expected, the check judges it like any other.

--- a/decide/liveness.go
+++ b/decide/liveness.go
@@ -137,12 +137,18 @@
 }
 
 // isLost tells whether a check of a reader shows that the answer to a read is lost. At one that hangs it may
-// have been before: the read is better made elsewhere.
+// have been before: the read is better made elsewhere. A read that should take long, as its reader had much
+// to do, is lost when that tells of no queue any more.
 func (r *Router) isLost(q *request, check *Event) bool {
-	if !r.isQuickRead(q) || r.now-q.sentAt < r.waitLimit()-tickEvery {
+	waited := r.now - q.sentAt
+	if q.stage != reading || waited < r.waitLimit()-tickEvery {
 		return false
 	}
-	return check.Outcome == TimedOut || check.Outcome == Served && !r.explains(&check.Report)
+	if check.Outcome == Served && check.Report.WaitingK >= 0 && float64(waited) >= waitTypical*q.expect {
+		return !r.explains(&check.Report)
+	}
+	suspicious := check.Outcome == TimedOut || check.Outcome == Served && !r.explains(&check.Report)
+	return suspicious && r.isQuickRead(q)
 }
 
 // isQuickRead tells whether an attempt is a read that should take far less than what it leaves may be held.
--- a/decide/liveness_test.go
+++ b/decide/liveness_test.go
@@ -148,6 +148,26 @@
 	}
 }
 
+// A read that should take long, as its reader had much to do, is waited for, until that tells of no queue any more.
+func TestLongReadsAtAReaderWithoutAQueue(t *testing.T) {
+	for waitingK, waited := range map[float64]bool{0: false, 10: true, -1: true} {
+		w, id, s, _ := waiting(t, safe, false)
+		w.r.requests[id].expect = float64(Second)
+		last := []Action(nil)
+		for range mostAsked {
+			check := w.checked(3 * Second)
+			if check == nil || check.Server != s {
+				t.Fatalf("asked %+v", check)
+			}
+			last = w.do(Event{Kind: Probed, Server: s, Fresh: true, Outcome: Served,
+				Report: Report{MemoryShare: 0.5, WaitingK: waitingK, Latency: -1}})
+		}
+		if got := find(last, Cancel) == nil; got != waited {
+			t.Errorf("queue of %v thousand: waited for: %v", waitingK, got)
+		}
+	}
+}
+
 // That a reader answers others does not put off the look at a read whose answer may be lost.
 func TestLostReadsAtAReaderThatOthersHear(t *testing.T) {
 	w, id, s, attempt := waiting(t, safe, false)
