Releases go at once to an engine that is heard now; soak: a second SIGTERM meets the same process

Change: an engine that was heard since the release began is asked whatever the bound; the second SIGTERM goes to a process that was told to end.

--- a/internal/engine/chat/release.go
+++ b/internal/engine/chat/release.go
@@ -111,11 +111,11 @@
 			if pending == maxHedged {
 				continue // the first that ends makes room
 			}
-			if pending > 0 && c.hedges.Load() >= maxHedges {
+			to := next()
+			if pending > 0 && c.hedges.Load() >= maxHedges && !c.heardSince(to, began) { // one that is heard now takes it at once
 				hedge.Reset(hedgeAfter)
 				continue
 			}
-			to := next()
 			if to == "" {
 				clear(tried) // all once more
 				hedge.Reset(hedgePause)
--- a/internal/front/chat/chat_test.go
+++ b/internal/front/chat/chat_test.go
@@ -50,9 +50,9 @@
 	return nil
 }
 func (e *engines) GiveUpPlace(context.Context, string, string) error { return nil }
-func (e *engines) Listed(string) {}
+func (e *engines) Listed(string)                                     {}
 
-func (e *engines) Forget(string)                                     {}
+func (e *engines) Forget(string) {}
 func (e *engines) Probe(context.Context, string, bool) engine.Result {
 	return engine.Result{Report: engine.Untold()}
 }
--- a/internal/soak/faults_processes.go
+++ b/internal/soak/faults_processes.go
@@ -116,7 +116,7 @@
 			in.move(r)
 		default:
 			in.count("SIGTERM in a shutdown", 1)
-			r.Signal(syscall.SIGTERM)
+			r.terminateAgain()
 		}
 	}
 }
--- a/internal/soak/router.go
+++ b/internal/soak/router.go
@@ -167,6 +167,15 @@
 	r.cmd.Process.Signal(s)
 }
 
+// terminateAgain sends SIGTERM to a process that was told to end before, and not to one that has come for it.
+func (r *Router) terminateAgain() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.life != nil && r.life.Exited.IsZero() && !r.life.Terminated.IsZero() {
+		r.cmd.Process.Signal(syscall.SIGTERM)
+	}
+}
+
 // readyFor tells whether the process that runs now has been ready for some time.
 func (r *Router) readyFor(d time.Duration) bool {
 	r.mu.Lock()
