--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -173,11 +173,10 @@
 	return r, nil
 }
 
-// The ports of routers lie under those that the kernel picks, which a network of this run or another may take on all
-// addresses.
+// The ports of routers lie under those that the networks take on all addresses.
 const (
 	firstPort = 10_000
-	lastPort  = 30_000
+	lastPort  = 20_000
 )
 
 // freeAddr returns an address that nobody listens on.
--- a/internal/standin/chat/machines.go
+++ b/internal/standin/chat/machines.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/netip"
 	"sync"
@@ -33,9 +34,28 @@
 	return netip.AddrFrom4([4]byte{127, byte(secondOctet), byte(number >> 8), byte(number)})
 }
 
+// The ports of listeners on all addresses lie under those that the kernel picks for connections: each of these, on any address,
+// takes its port from them.
+const (
+	firstPort = 20_000
+	lastPort  = 32_000
+	portTries = 200
+)
+
+// listenEverywhere listens on all addresses, at a port that is free on each.
+func listenEverywhere() (l net.Listener, err error) {
+	for range portTries {
+		l, err = net.Listen("tcp4", fmt.Sprintf("0.0.0.0:%d", firstPort+rand.IntN(lastPort-firstPort)))
+		if err == nil {
+			return l, nil
+		}
+	}
+	return nil, err
+}
+
 // NewMachines starts a listener without engines.
 func NewMachines() (*Machines, error) {
-	l, err := net.Listen("tcp4", "0.0.0.0:0")
+	l, err := listenEverywhere()
 	if err != nil {
 		return nil, fmt.Errorf("machines: %w", err)
 	}
--- a/internal/standin/chat/proxy.go
+++ b/internal/standin/chat/proxy.go
@@ -54,7 +54,7 @@
 
 // NewProxy starts a proxy for a router's connections.
 func NewProxy(cluster *Cluster, router int) (*Proxy, error) {
-	l, err := net.Listen("tcp4", "0.0.0.0:0")
+	l, err := listenEverywhere()
 	if err != nil {
 		return nil, fmt.Errorf("proxy: %w", err)
 	}
