What a read should take goes by the usual where reads are quicker than assumed

Cause: the check that calls off reads whose answers are lost leaves those alone that should take long; that went by the pace assumed at the start, 0.1 ms a token, though reads had been seen to take a third.

Change: the expected time is scaled by the usual ratio where that is under 1.

--- a/decide/liveness.go
+++ b/decide/liveness.go
@@ -144,7 +144,7 @@
 	if q.stage != reading || waited < r.waitLimit()-tickEvery {
 		return false
 	}
-	if check.Outcome == Served && check.Report.WaitingK >= 0 && float64(waited) >= waitTypical*q.expect {
+	if check.Outcome == Served && check.Report.WaitingK >= 0 && float64(waited) >= waitTypical*r.expected(q) {
 		return !r.explains(&check.Report)
 	}
 	suspicious := check.Outcome == TimedOut || check.Outcome == Served && !r.explains(&check.Report)
@@ -153,7 +153,7 @@
 
 // isQuickRead tells whether an attempt is a read that should take far less than what it leaves may be held.
 func (r *Router) isQuickRead(q *request) bool {
-	return q.stage == reading && waitTypical*q.expect <= float64(r.waitLimit())
+	return q.stage == reading && waitTypical*r.expected(q) <= float64(r.waitLimit())
 }
 
 // explains tells whether a reader's report explains why a read takes so long: by a queue that takes so long.
@@ -188,3 +188,12 @@
 		s.heardAt = r.now
 	}
 }
+
+// expected is how long a read should take: by what waits at its reader, and no more than is usual where reads
+// are quicker than that.
+func (r *Router) expected(q *request) float64 {
+	if usual := r.usual(Reader, nil); usual > 0 {
+		return min(usual, 1) * q.expect
+	}
+	return q.expect
+}
--- a/decide/liveness_test.go
+++ b/decide/liveness_test.go
@@ -168,6 +168,22 @@
 	}
 }
 
+// What a read should take goes by the usual, where that is quicker than the pace that is assumed.
+func TestReadsAreQuickerThanAssumed(t *testing.T) {
+	for usual, quick := range map[float64]bool{0.3: true, 1: false, 3: false} {
+		w, id, _, _ := waiting(t, safe, false)
+		q := w.r.requests[id]
+		q.expect = float64(Second)
+		for _, s := range w.r.order {
+			s.answers, s.answer = slowSamples, usual
+		}
+		w.r.timed = [Both + 1]bool{}
+		if got := w.r.isQuickRead(q); got != quick {
+			t.Errorf("usual %v: quick %v", usual, got)
+		}
+	}
+}
+
 // That a reader answers others does not put off the look at a read whose answer may be lost.
 func TestLostReadsAtAReaderThatOthersHear(t *testing.T) {
 	w, id, s, attempt := waiting(t, safe, false)
