Review: cases renumbered, one taken out, agents that share their time

The restart beside a slow agent is 8, the older list after a SIGHUP 9, the slow and then crowded agent 10.

--- a/review/9/main.go
+++ b/review/9/main.go
@@ -1,63 +1,42 @@
-// Case 9: a reader begins to drain while a writer fails a request whose state waits at that reader.
+// Case 9: a new configuration moves discovery to an agent that has heard less than the one before.
 package main
 
 import (
-	"sync/atomic"
 	"time"
 
 	"mintdoor/review/kit-2"
 )
 
-// limit is how long a state may be held with no attempt out: the settings' time and 300 ms, and 50 ms.
-const limit = time.Second + 350*time.Millisecond
-
 func main() {
 	c := kit2.NewCase()
-	id := kit2.NewID()
-	var drain func(worker string)
-	var reads, writes atomic.Int32
-	fleet := c.NewFleet(func(a *kit2.Arrival) kit2.Plan {
-		switch {
-		case !a.Writer:
-			if reads.Add(1) == 1 && c.Trouble {
-				time.AfterFunc(150*time.Millisecond, func() { drain(a.Worker) })
-			}
-			return kit2.Plan{Delay: 100 * time.Millisecond}
-		case writes.Add(1) == 1:
-			return kit2.Plan{Delay: 300 * time.Millisecond, Status: 500}
-		}
-		return kit2.Plan{Delay: 100 * time.Millisecond, Events: 10, Interval: 60 * time.Millisecond}
-	})
-	members := append(fleet.NewWorkers(4, "prefill", false), fleet.NewWorkers(6, "decode-a", true)...)
-	agent := c.NewAgent("agent", 41, members...)
-	drain = func(worker string) {
-		for _, m := range members {
-			if m.ID == worker {
-				m.Phase = "draining"
-				agent.Put(m)
-				c.Note("discovery lists %s as draining", worker)
-			}
-		}
+	s := c.NewSmall()
+	next := c.NewAgent("next agent of n1", 41, s.Members...)
+	s.Start()
+	n1, before := s.Routers[0], s.Agents[0]
+	drained := s.Quarter()
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		c.Traffic(n1, 15, time.Now().Add(9*time.Second))
+	}()
+	time.Sleep(2 * time.Second)
+	before.Put(drained...)
+	c.Note("discovery lists a quarter of the workers as draining; the agent of n1 has it")
+	time.Sleep(500 * time.Millisecond)
+	if c.Trouble {
+		n1.Set("discovery", next.Addr())
+		n1.Reload() // the old agent goes on for 1.5 s, but is not asked any more
 	}
-	n1 := c.NewRouter("n1", kit2.SmallSettings(2, 0), agent)
-	n1.Start()
-	n1.AwaitReady()
-	cl, err := kit2.Dial(n1.Addr)
-	c.Check(err)
-	c.Check(cl.Write(kit2.Message(id, kit2.PriceAsk, 6*time.Second)))
-	c.Note("client: %s sent", id)
-	answer := cl.Read(time.Now().Add(8 * time.Second))
-	c.NoteAt(answer.End, "client: answer: %v", &answer)
-	if answer.Status != 200 || !answer.Whole {
-		c.Abort("the request was not served: %v", &answer)
-	}
-	time.Sleep(12 * time.Second) // far more than the limit
-	for reader, since := range fleet.Held(id) {
-		held := time.Since(answer.End)
-		c.Note("%s holds a state of %s since %.3f s; no attempt has been out for %.3f s", reader, id, time.Since(since).Seconds(), held.Seconds())
-		if held > limit {
-			c.Break("%s still holds a state of a request that was served %.1f s ago; no DELETE has come", reader, held.Seconds())
+	time.Sleep(3500 * time.Millisecond) // less than the 4 s after which all counts as told
+	next.Put(drained...)
+	c.Note("the next agent has it")
+	<-done
+	c.CheckDrains(s.Fleet, drained, func(id string) time.Time {
+		at, ok := before.Told(id)
+		if !ok {
+			c.Abort("the agent has not told n1 of %s", id)
 		}
-	}
+		return at
+	})
 	c.End()
 }
--- a/review/kit-2/agent.go
+++ b/review/kit-2/agent.go
@@ -45,6 +45,10 @@
 	delay    time.Duration        // before each response
 	admitted int                  // calls that may be open at a time; 0: any number
 	open     int                  // calls that are open, the ignored ones included
+	work     time.Duration        // for each response, shared with all other calls that are being worked on
+	calls    int                  // so far
+	givenUp  int                  // calls that were given up before their response
+	working  int                  // calls that are being worked on
 	told     map[string]time.Time // by member, when a list in which it does not take new work was first written
 	c        *Case
 	name     string
@@ -100,18 +104,78 @@
 	a.delay, a.admitted = delay, admitted
 }
 
+// Share makes the agent slow by load: each response is so much work, and the agent divides its time equally among the
+// calls that are open and have something to respond with. A call that is given up is work no more.
+func (a *Agent) Share(work time.Duration) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.work = work
+}
+
+// shared does the work of one response. It returns false if the call was given up.
+func (a *Agent) shared(done <-chan struct{}) bool {
+	const step = 5 * time.Millisecond
+	a.mu.Lock()
+	left := a.work
+	a.working++
+	a.mu.Unlock()
+	defer func() {
+		a.mu.Lock()
+		a.working--
+		a.mu.Unlock()
+	}()
+	for before := time.Now(); left > 0; {
+		select {
+		case <-time.After(step):
+		case <-done:
+			return false
+		}
+		now := time.Now()
+		a.mu.Lock()
+		left -= now.Sub(before) / time.Duration(a.working)
+		a.mu.Unlock()
+		before = now
+	}
+	return true
+}
+
 // begin counts a call that has come, and tells how it is treated.
 func (a *Agent) begin() (delay time.Duration, admitted bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.open++
+	a.calls++
 	return a.delay, a.admitted == 0 || a.open <= a.admitted
 }
 
-func (a *Agent) end() {
+func (a *Agent) end(r *http.Request) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.open--
+	if r.Context().Err() != nil {
+		a.givenUp++
+	}
+}
+
+// Calls returns how many calls have come.
+func (a *Agent) Calls() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.calls
+}
+
+// GivenUp returns how many calls were given up by the router.
+func (a *Agent) GivenUp() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.givenUp
+}
+
+// Responses returns how many calls were answered.
+func (a *Agent) Responses() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.calls - a.givenUp - a.open
 }
 
 // written notes what a response has told.
@@ -154,7 +218,7 @@
 		return
 	}
 	delay, admitted := a.begin()
-	defer a.end()
+	defer a.end(r)
 	if !admitted {
 		<-r.Context().Done()
 		return
@@ -162,6 +226,9 @@
 	respond := func(l List) {
 		select {
 		case <-time.After(delay):
+			if !a.shared(r.Context().Done()) {
+				return
+			}
 			if json.NewEncoder(w).Encode(l) == nil {
 				a.written(&l)
 			}
--- a/review/kit-2/kit.go
+++ b/review/kit-2/kit.go
@@ -224,18 +224,25 @@
 
 // AwaitReady waits until GET /up answers 200.
 func (r *Router) AwaitReady() {
-	for end := time.Now().Add(20 * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+	if !r.ReadyBy(time.Now().Add(20 * time.Second)) {
+		r.c.Abort("%s was not ready", r.Name)
+	}
+}
+
+// ReadyBy waits until GET /up answers 200, and returns false if it has not by end.
+func (r *Router) ReadyBy(end time.Time) bool {
+	for ; time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
 		if cl, err := Dial(r.Addr); err == nil {
 			cl.Write("GET /up HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n")
 			a := cl.Read(time.Now().Add(time.Second))
 			cl.Close()
 			if a.Status == 200 {
 				r.c.Note("%s: ready", r.Name)
-				return
+				return true
 			}
 		}
 	}
-	r.c.Abort("%s was not ready", r.Name)
+	return false
 }
 
 // Signal sends a signal to the process.
