--- a/review/9/main.go
+++ b/review/9/main.go
@@ -9,15 +9,14 @@
 
 func main() {
 	c := kit2.NewCase()
-	s := c.NewSmall()
+	s := c.NewSmallWith(kit2.LongStreams)
 	next := c.NewAgent("next agent of n1", 41, s.Members...)
 	s.Start()
 	n1, before := s.Routers[0], s.Agents[0]
 	drained := s.Quarter()
-	done := make(chan struct{})
+	done := make(chan []kit2.Sent, 1)
 	go func() {
-		defer close(done)
-		c.Traffic(n1, 15, time.Now().Add(9*time.Second))
+		done <- c.TrafficOf(kit2.PenBooking, n1, 15, time.Now().Add(9*time.Second))
 	}()
 	time.Sleep(2 * time.Second)
 	before.Put(drained...)
@@ -30,13 +29,16 @@
 	time.Sleep(3500 * time.Millisecond) // less than the 4 s after which all counts as told
 	next.Put(drained...)
 	c.Note("the next agent has it")
-	<-done
-	c.CheckDrains(s.Fleet, drained, func(id string) time.Time {
+	time.Sleep(time.Second) // what the workers had within the grace has ended
+	s.Replace(drained, before, next)
+	all := <-done
+	late := c.CheckDrains(s.Fleet, drained, func(id string) time.Time {
 		at, ok := before.Told(id)
 		if !ok {
 			c.Abort("the agent has not told n1 of %s", id)
 		}
 		return at
 	})
+	c.CheckCut(all, late)
 	c.End()
 }
--- a/review/kit-2/client.go
+++ b/review/kit-2/client.go
@@ -88,23 +88,40 @@
 	return head + fmt.Sprintf("Content-Length: %d\r\n\r\n", len(body)) + body
 }
 
+// Sent is a request of TrafficOf and what has come back.
+type Sent struct {
+	ID     string
+	At     time.Time
+	Answer Answer
+}
+
 // Traffic sends so many requests a second to a router, one on a connection, until a time. It returns when all have ended.
 func (c *Case) Traffic(r *Router, perSecond float64, until time.Time) {
+	c.TrafficOf(PriceAsk, r, perSecond, until)
+}
+
+// TrafficOf does the same with requests of a class.
+func (c *Case) TrafficOf(class string, r *Router, perSecond float64, until time.Time) (all []Sent) {
 	var open sync.WaitGroup
+	var mu sync.Mutex
 	for time.Now().Before(until) {
 		open.Go(func() {
-			id := NewID()
+			s := Sent{ID: NewID(), At: time.Now()}
 			cl, err := Dial(r.Addr)
 			if err != nil {
-				c.Note("client: %s could not connect to %s", id, r.Name)
+				c.Note("client: %s could not connect to %s", s.ID, r.Name)
 				return
 			}
 			defer cl.Close()
-			cl.Write(Message(id, PriceAsk, 6*time.Second))
-			a := cl.Read(time.Now().Add(8 * time.Second))
-			c.NoteAt(a.End, "client: %s, sent to %s: status %d, whole: %v", id, r.Name, a.Status, a.Whole)
+			cl.Write(Message(s.ID, class, 6*time.Second))
+			s.Answer = cl.Read(time.Now().Add(12 * time.Second))
+			c.NoteAt(s.Answer.End, "client: %s, sent to %s: status %d, whole: %v", s.ID, r.Name, s.Answer.Status, s.Answer.Whole)
+			mu.Lock()
+			defer mu.Unlock()
+			all = append(all, s)
 		})
 		time.Sleep(time.Duration(float64(time.Second) / perSecond))
 	}
 	open.Wait()
+	return all
 }
--- a/review/kit-2/drain.go
+++ b/review/kit-2/drain.go
@@ -19,13 +19,17 @@
 
 // NewSmall starts workers and agents of a small deployment, and prepares its routers. Every request is served.
 func (c *Case) NewSmall() *Small {
-	s := &Small{}
-	s.Fleet = c.NewFleet(func(a *Arrival) Plan {
+	return c.NewSmallWith(func(a *Arrival) Plan {
 		if !a.Writer {
 			return Plan{Delay: 30 * time.Millisecond}
 		}
 		return Plan{Delay: 60 * time.Millisecond, Events: 10, Interval: 60 * time.Millisecond}
 	})
+}
+
+// NewSmallWith does the same with workers that do what plan says.
+func (c *Case) NewSmallWith(plan func(*Arrival) Plan) *Small {
+	s := &Small{Fleet: c.NewFleet(plan)}
 	s.Members = append(s.Fleet.NewWorkers(4, "prefill", false), s.Fleet.NewWorkers(6, "decode-a", true)...)
 	for i, name := range []string{"n1", "n2"} {
 		s.Agents[i] = c.NewAgent("agent of "+name, 41, s.Members...)
@@ -54,13 +58,15 @@
 }
 
 // CheckDrains notes what has arrived at a draining worker later than its router was told of that and the grace allow.
-// Only one router may have sent.
-func (c *Case) CheckDrains(f *Fleet, drained []Member, told func(id string) time.Time) {
+// Only one router may have sent. It returns the requests.
+func (c *Case) CheckDrains(f *Fleet, drained []Member, told func(id string) time.Time) (late map[string]bool) {
+	late = map[string]bool{}
 	n, last, worker := 0, time.Duration(0), ""
 	for _, m := range drained {
 		at := told(m.ID)
 		for _, a := range f.SentTo(m.ID, at.Add(DrainGrace+drainSlack), time.Now()) {
 			n++
+			late[a.ID] = true
 			c.NoteAt(a.At, "%s arrived at %s %.3f s after its drain was told", a.ID, m.ID, a.At.Sub(at).Seconds())
 			if d := a.At.Sub(at); d > last {
 				last, worker = d, m.ID
@@ -71,4 +77,5 @@
 		c.Break("%d requests were sent to draining workers after the grace of %v; the last to %s, %.3f s after its drain was told",
 			n, DrainGrace, worker, last.Seconds())
 	}
+	return late
 }
--- a/review/kit-2/worker.go
+++ b/review/kit-2/worker.go
@@ -42,11 +42,12 @@
 	held     map[string]map[string]time.Time // by request, the readers that hold a state
 	taken    map[string]string               // by request, the reader whose state a send to a writer has taken
 	runs     map[string][]string             // by request, the writers that have run it
+	workers  map[string]*Worker
 }
 
 // NewFleet returns a fleet whose workers do what plan says.
 func (c *Case) NewFleet(plan func(*Arrival) Plan) *Fleet {
-	return &Fleet{c: c, plan: plan, held: map[string]map[string]time.Time{}, taken: map[string]string{}, runs: map[string][]string{}}
+	return &Fleet{c: c, plan: plan, held: map[string]map[string]time.Time{}, taken: map[string]string{}, runs: map[string][]string{}, workers: map[string]*Worker{}}
 }
 
 // Arrivals returns the requests that have arrived so far.
@@ -90,6 +91,9 @@
 	Writer bool
 	fleet  *Fleet
 	l      net.Listener
+
+	mu    sync.Mutex
+	conns map[net.Conn]struct{}
 }
 
 // NewWorkers starts n workers of a kind and returns their entries for the list.
@@ -98,8 +102,11 @@
 	for i := range n {
 		l, err := net.Listen("tcp4", "127.0.0.1:0")
 		f.c.Check(err)
-		w := &Worker{Writer: writer, fleet: f, l: l, Member: Member{ID: fmt.Sprintf("%s-%d", kind, i), Addr: l.Addr().String(),
+		w := &Worker{Writer: writer, fleet: f, l: l, conns: map[net.Conn]struct{}{}, Member: Member{ID: fmt.Sprintf("%s-%d", kind, i), Addr: l.Addr().String(),
 			Zone: "korangi-hall", Kind: kind, Cell: 1, Phase: "up", Size: 1}}
+		f.mu.Lock()
+		f.workers[w.Member.ID] = w
+		f.mu.Unlock()
 		go w.accept()
 		out = append(out, w.Member)
 	}
@@ -112,8 +119,16 @@
 		if err != nil {
 			return
 		}
+		w.mu.Lock()
+		w.conns[nc] = struct{}{}
+		w.mu.Unlock()
 		go func() {
-			defer nc.Close()
+			defer func() {
+				w.mu.Lock()
+				delete(w.conns, nc)
+				w.mu.Unlock()
+				nc.Close()
+			}()
 			br := bufio.NewReader(nc)
 			for w.serve(nc, br) {
 			}
@@ -121,6 +136,21 @@
 	}
 }
 
+// Stop ends a worker's process: its connections are reset, and new ones refused.
+func (f *Fleet) Stop(id string) {
+	f.mu.Lock()
+	w := f.workers[id]
+	f.mu.Unlock()
+	w.l.Close()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	f.c.Note("%s: stopped", id)
+	for nc := range w.conns {
+		nc.(*net.TCPConn).SetLinger(0)
+		nc.Close()
+	}
+}
+
 // serve answers one request and reports whether the connection can carry another.
 func (w *Worker) serve(nc net.Conn, br *bufio.Reader) bool {
 	r, err := http.ReadRequest(br)
