--- a/internal/discovery/watch/list.go
+++ b/internal/discovery/watch/list.go
@@ -67,6 +67,10 @@
 	if len(l.Members) > maxMembers {
 		return true, fmt.Errorf("discovery lists %d members", len(l.Members))
 	}
+	if !sameAgent || l.Revision < s.revision {
+		s.log.Info("list of another agent, or of restarted revisions", "agent", c.addr, "revision", l.Revision,
+			"agent_before", s.agent, "revision_before", s.revision, "members", len(l.Members))
+	}
 	invalid := s.members.apply(l)
 	s.agent, s.move, s.revision, s.appliedAt, s.regressedSince = c.addr, c.move, l.Revision, now, time.Time{}
 	s.needComplete = invalid && !l.Complete
