Discovery: an older list after a move no longer makes withdrawn engines ready

Cause: the list of an agent at another address replaced everything that the one before had reported, whatever its age. No call to the old agent and no cached list is involved.

Change: the lists of one agent are a generation, ordered by its revisions. Until 4 s after the move (then all that discovery has to report counts as reported) a new generation withdraws engines, but makes none ready that was known to drain or, at a lower revision, not to be listed; a start time does not go back. A process that started later is used at once. Whole lists of a known revision and empty watches are not applied again.

TestSetAddrWithLowerRevision wanted an engine at once that is only in the list with the lower revision and started long ago.

--- a/internal/discovery/watch/calls.go
+++ b/internal/discovery/watch/calls.go
@@ -12,8 +12,7 @@
 
 // call is one call to an agent.
 type call struct {
-	addr      string
-	move      int  // how often the address had changed before
+	agent     agentAddr
 	isWatch   bool // requests the changes since a revision instead of the whole list
 	since     int64
 	wait      time.Duration // for which a watch waits for a change
@@ -23,7 +22,7 @@
 
 // url returns the URL of the call.
 func (c *call) url() string {
-	url := "http://" + c.addr + ListPath
+	url := "http://" + c.agent.addr + ListPath
 	if c.isWatch {
 		url += "?since=" + strconv.FormatInt(c.since, 10) + "&timeout_ms=" + strconv.FormatInt(c.wait.Milliseconds(), 10)
 	}
@@ -47,6 +46,9 @@
 	return max(elapsed, 0)
 }
 
+// asOf returns a time of which it is certain that the response has all that the agent had been sent by then.
+func (r *callResult) asOf(now time.Time) time.Time { return now.Add(-r.maxLatency(now)) }
+
 // callSet makes calls and keeps those that are in flight, in the order of their starts. Only results may be used by
 // other goroutines than the owner's.
 type callSet struct {
@@ -118,7 +120,7 @@
 // count returns how many calls are in flight that were made after a number of address changes.
 func (s *callSet) count(move int) (n int) {
 	for _, c := range s.inFlight {
-		if c.move == move {
+		if c.agent.moves == move {
 			n++
 		}
 	}
@@ -127,7 +129,7 @@
 
 // hasWatch reports whether a watch is in flight that was started after a number of address changes.
 func (s *callSet) hasWatch(move int) bool {
-	return slices.ContainsFunc(s.inFlight, func(c *call) bool { return c.isWatch && c.move == move })
+	return slices.ContainsFunc(s.inFlight, func(c *call) bool { return c.isWatch && c.agent.moves == move })
 }
 
 // cancelRedundant cancels the call that is missed least: neither the oldest nor the newest, but the one whose neighbours
--- a/internal/discovery/watch/list.go
+++ b/internal/discovery/watch/list.go
@@ -16,9 +16,11 @@
 
 // serverList is the server list, as agents have reported it.
 type serverList struct {
-	cached  []byte // the list from before the start, in discovery's format; empty: none, or it was used
-	log     *slog.Logger
-	members members
+	cached     []byte // the list from before the start, in discovery's format; empty: none, or it was used
+	log        *slog.Logger
+	members    members // as last reported
+	generation generation
+	engines    []discovery.Engine // those of members that may be used, sorted by name
 
 	agent          string    // address of the agent that reported members; "" before the first response
 	move           int       // how often the address had changed before the call that reported members
@@ -35,17 +37,19 @@
 var errOutdated = errors.New("the response is older than the list")
 
 // isUnknown reports whether no engine is known and no agent has responded.
-func (s *serverList) isUnknown() bool { return s.agent == "" && len(s.members.list) == 0 }
+func (s *serverList) isUnknown() bool { return s.agent == "" && len(s.engines) == 0 }
 
 // apply applies the response to a call, and reports whether the whole list has to be requested next. If it returns an
 // error, the list is unchanged.
-func (s *serverList) apply(c *call, l *response) (needComplete bool, err error) {
+func (s *serverList) apply(r *callResult) (needComplete bool, err error) {
 	now := time.Now()
-	sameAgent := c.addr == s.agent
-	if s.agent != "" && c.move < s.move {
+	c, l := r.call, r.list
+	sameAgent := c.agent.addr == s.agent
+	if s.agent != "" && c.agent.moves < s.move {
 		return false, errOutdated
 	}
-	if sameAgent && l.Revision < s.revision {
+	restarted := sameAgent && l.Revision < s.revision
+	if restarted {
 		if c.startedAt.Before(s.appliedAt) {
 			return false, errOutdated
 		}
@@ -55,28 +59,50 @@
 		if !l.Complete || now.Sub(s.regressedSince) < s.regressionWindow {
 			return true, fmt.Errorf("discovery's revision %d is older than %d", l.Revision, s.revision)
 		}
-		s.log.Warn("the discovery agent's revisions restarted", "from", s.revision, "to", l.Revision)
 	}
 	if !sameAgent && !l.Complete {
 		return true, errors.New("discovery reports changes to a list that it has not reported")
 	}
-	if sameAgent && l.Complete && l.Revision == s.revision && !s.needComplete {
-		s.move, s.appliedAt, s.regressedSince = c.move, now, time.Time{}
-		return false, nil // the list is known; to decode thousands of members again would take long
-	}
 	if len(l.Members) > maxMembers {
 		return true, fmt.Errorf("discovery lists %d members", len(l.Members))
 	}
-	if !sameAgent || l.Revision < s.revision {
-		s.log.Info("list of another agent, or of restarted revisions", "agent", c.addr, "revision", l.Revision,
-			"agent_before", s.agent, "revision_before", s.revision, "members", len(l.Members))
+	isKnown := sameAgent && !s.needComplete && s.isKnown(l)
+	if !sameAgent || restarted {
+		s.beginGeneration(c, l)
+	}
+	s.agent, s.move, s.revision, s.appliedAt, s.regressedSince = c.agent.addr, c.agent.moves, l.Revision, now, time.Time{}
+	wasSettled := s.generation.hasSettled()
+	s.generation.settle(r.asOf(now))
+	if !isKnown {
+		invalid := s.members.apply(l)
+		s.needComplete = !l.Complete && (invalid || s.needComplete)
+	}
+	if !wasSettled || !isKnown {
+		s.engines = s.generation.admit(s.members.list, l.Revision)
 	}
-	invalid := s.members.apply(l)
-	s.agent, s.move, s.revision, s.appliedAt, s.regressedSince = c.addr, c.move, l.Revision, now, time.Time{}
-	s.needComplete = invalid && !l.Complete
 	return s.needComplete, nil
 }
 
+// isKnown reports whether the agent's response has no changes. To decode thousands of members again would take long.
+func (s *serverList) isKnown(l *response) bool {
+	if l.Complete {
+		return l.Revision == s.revision
+	}
+	return len(l.Members) == 0
+}
+
+// beginGeneration begins a generation of lists with the response of another agent, or of one whose revisions restarted.
+func (s *serverList) beginGeneration(c *call, l *response) {
+	var settlesAt time.Time
+	if !c.agent.movedAt.IsZero() {
+		settlesAt = c.agent.movedAt.Add(moveSettleTime)
+	}
+	revision := max(s.revision, s.generation.revision)
+	s.generation = newGeneration(s.engines, revision, s.appliedAt, settlesAt)
+	s.log.Info("list of another agent, or of restarted revisions", "agent", c.agent.addr, "revision", l.Revision,
+		"agent_before", s.agent, "revision_before", s.revision, "members", len(l.Members))
+}
+
 // useCached makes the cached list the server list, once, if no agent has responded. It returns false if there is none
 // or it can't be used.
 func (s *serverList) useCached() bool {
@@ -91,10 +117,11 @@
 		return false
 	}
 	s.members.apply(l)
+	s.engines = s.members.list
 	return true
 }
 
 // update returns an update with the current list.
 func (s *serverList) update() discovery.Update {
-	return discovery.Update{Engines: s.members.list, At: time.Now()}
+	return discovery.Update{Engines: s.engines, At: time.Now()}
 }
--- /dev/null
+++ b/internal/discovery/watch/older_list_test.go
@@ -0,0 +1,207 @@
+package watch_test
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"mintdoor/decide"
+	"mintdoor/internal/discovery/watch"
+	standin "mintdoor/internal/standin/chat"
+)
+
+// moveLimit is how long after a move an agent may be behind the one before it.
+const moveLimit = 4 * time.Second
+
+// The start times of an engine's first process and of the ones after it, in Unix milliseconds. The last is later than all
+// reports.
+const firstStart, secondStart, lateStart = 1_000, 2_000, 4_102_444_800_000
+
+// member0 returns the entry of the engine e0 in a phase.
+func member0(phase string, sinceMS int64) watch.Member {
+	return watch.Member{ID: engineName(0), Zone: "a", Kind: "m", Phase: phase, Size: 1, SinceMS: sinceMS}
+}
+
+// put puts entries of the engine e0 into directories one after the other, each as a change of its own.
+func put(changes []watch.Member, directories ...*standin.Directory) {
+	for _, d := range directories {
+		for _, m := range changes {
+			d.Put(m)
+		}
+	}
+}
+
+// describe returns in words what was last reported of the engine e0.
+func (e *environment) describe() string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	engine, listed := e.engines[engineName(0)]
+	switch {
+	case !listed:
+		return "gone"
+	case engine.State != decide.Ready:
+		return "draining"
+	case engine.StartedAt.IsZero():
+		return "ready"
+	}
+	return fmt.Sprintf("ready since %d", engine.StartedAt.UnixMilli())
+}
+
+// await0 waits until the engine e0 is reported as described.
+func (e *environment) await0(want string, limit time.Duration) {
+	e.t.Helper()
+	e.await("a report of e0 as "+want, limit, func() bool { return e.describe() == want })
+}
+
+// awaitFirstList waits until the source has reported a list.
+func (e *environment) awaitFirstList() {
+	e.t.Helper()
+	e.await("the first list", readyLimit, func() bool { _, listed := e.state(1); return listed })
+}
+
+// hold checks for some time that the engine e0 is not reported as ready unless as described.
+func (e *environment) hold(length time.Duration, allowed string) {
+	e.t.Helper()
+	const step = 10 * time.Millisecond
+	for end := time.Now().Add(length); time.Now().Before(end); time.Sleep(step) {
+		synctest.Wait()
+		if state, listed := e.state(0); listed && state == decide.Ready && e.describe() != allowed {
+			e.t.Fatalf("e0 is reported as %s %v before the end", e.describe(), time.Until(end))
+		}
+	}
+}
+
+// Guards against a list of the agent after a move that is older than what the one before it has reported: engines
+// that had drained or were removed became ready again, and restarted ones counted as started long ago.
+func TestOlderListAfterMove(t *testing.T) {
+	first := []watch.Member{member0(watch.Up, firstStart)}
+	for name, c := range map[string]struct {
+		older   []watch.Member // which both agents report
+		newer   []watch.Member // which only the agent before the move reports at first
+		known   string
+		allowed string
+	}{
+		"drain":                        {first, []watch.Member{member0(watch.Draining, firstStart)}, "draining", ""},
+		"removal":                      {first, []watch.Member{member0(watch.Removed, firstStart)}, "gone", ""},
+		"removal of a draining engine": {[]watch.Member{member0(watch.Draining, firstStart)}, []watch.Member{member0(watch.Removed, firstStart)}, "gone", ""},
+		"drain and removal":            {first, []watch.Member{member0(watch.Draining, firstStart), member0(watch.Removed, firstStart)}, "gone", ""},
+		"restart":                      {first, []watch.Member{member0(watch.Up, secondStart)}, "ready since 2000", "ready since 2000"},
+		"drain of a restarted engine": {first, []watch.Member{member0(watch.Up, secondStart), member0(watch.Draining, secondStart)},
+			"draining", ""},
+		"second drain": {first, []watch.Member{member0(watch.Draining, firstStart), member0(watch.Up, firstStart), member0(watch.Draining, firstStart)},
+			"draining", ""},
+		"restart after a removal": {[]watch.Member{member0(watch.Up, firstStart), member0(watch.Removed, firstStart)},
+			[]watch.Member{member0(watch.Up, secondStart)}, "ready since 2000", "ready since 2000"},
+	} {
+		for _, delay := range []time.Duration{0, 300 * time.Millisecond, 800 * time.Millisecond} {
+			for _, behind := range []time.Duration{time.Second, 3500 * time.Millisecond, moveLimit - 20*time.Millisecond} {
+				t.Run(fmt.Sprintf("%s, %v, %v behind", name, delay, behind), func(t *testing.T) {
+					synctest.Test(t, func(t *testing.T) {
+						e, late := newEnvironment(t), standin.NewDirectory()
+						e.startAgent("agent0:1", standin.Overload{})
+						put(c.older, e.directory, late)
+						e.run("agent0:1", "")
+						e.awaitFirstList()
+						put(c.newer, e.directory)
+						e.await0(c.known, reportLimit)
+						e.startAgentOf(late, "agent1:1", standin.Overload{Delay: delay})
+						e.source.SetAddr("agent1:1")
+						e.hold(behind, c.allowed)
+						put(c.newer, late)
+						e.hold(2*reportLimit, c.allowed)
+						if e.describe() != c.known {
+							t.Errorf("in the end e0 is %s, want %s", e.describe(), c.known)
+						}
+					})
+				})
+			}
+		}
+	}
+}
+
+// An older list is no reason to use an engine again while address changes follow one another, also back to an agent
+// that was heard before.
+func TestOlderListsAfterMovesInQuickSuccession(t *testing.T) {
+	for _, interval := range []time.Duration{20 * time.Millisecond, 700 * time.Millisecond, 3 * time.Second} {
+		t.Run(interval.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				e, late := newEnvironment(t), standin.NewDirectory()
+				e.startAgent("agent0:1", standin.Overload{})
+				e.startAgentOf(late, "agent1:1", standin.Overload{})
+				e.startAgentOf(late, "agent2:1", standin.Overload{})
+				put([]watch.Member{member0(watch.Up, 0)}, e.directory, late)
+				e.run("agent0:1", "")
+				e.await0("ready", reportLimit)
+				put([]watch.Member{member0(watch.Draining, 0)}, e.directory)
+				e.await0("draining", reportLimit)
+				for _, addr := range []string{"agent1:1", "agent2:1", "agent0:1", "agent1:1", "agent2:1", "agent1:1"} {
+					e.source.SetAddr(addr)
+					e.hold(interval, "")
+				}
+				e.hold(moveLimit-interval-20*time.Millisecond, "")
+			})
+		})
+	}
+}
+
+// What is new in a list after a move is used: at once where it can't be older than what is known, else when all that
+// discovery has to report counts as reported. Revisions may be lower than those of the agent before.
+func TestNewerListAfterMove(t *testing.T) {
+	up := func(sinceMS int64) []watch.Member { return []watch.Member{member0(watch.Up, sinceMS)} }
+	drained := []watch.Member{member0(watch.Up, firstStart), member0(watch.Draining, firstStart)}
+	removed := []watch.Member{member0(watch.Up, firstStart), member0(watch.Removed, firstStart)}
+	const atOnce = 50 * time.Millisecond
+	for name, c := range map[string]struct {
+		before, after []watch.Member
+		want          string
+		limit         time.Duration
+	}{
+		"ready again":           {drained, up(firstStart), "ready since 1000", reportLimit},
+		"restarted":             {drained, up(secondStart), "ready since 2000", atOnce},
+		"listed again":          {removed, up(firstStart), "ready since 1000", reportLimit},
+		"listed after a start":  {removed, up(lateStart), "ready since 4102444800000", atOnce},
+		"listed first":          {nil, up(firstStart), "ready since 1000", reportLimit},
+		"starts earlier":        {up(secondStart), up(firstStart), "ready since 1000", reportLimit},
+		"drains":                {up(firstStart), []watch.Member{member0(watch.Draining, firstStart)}, "draining", atOnce},
+		"is gone":               {up(firstStart), nil, "gone", atOnce},
+		"drains after a revoke": {drained, drained, "draining", atOnce},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				e, next := newEnvironment(t), standin.NewDirectory()
+				e.startAgent("agent0:1", standin.Overload{})
+				put(c.before, e.directory)
+				e.run("agent0:1", "")
+				time.Sleep(time.Second)
+				next.Put(watch.Member{ID: engineName(1), Zone: "a", Kind: "m", Phase: watch.Up, Size: 1})
+				put(c.after, next)
+				e.startAgentOf(next, "agent1:1", standin.Overload{})
+				e.source.SetAddr("agent1:1")
+				e.await0(c.want, c.limit)
+			})
+		})
+	}
+}
+
+// An agent may revoke what it has reported itself, also just after a move.
+func TestNextAgentRevokesItsOwnReports(t *testing.T) {
+	for phase, known := range map[string]string{watch.Draining: "draining", watch.Removed: "gone"} {
+		t.Run(phase, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				e, late := newEnvironment(t), standin.NewDirectory()
+				e.startAgent("agent0:1", standin.Overload{})
+				put([]watch.Member{member0(watch.Up, 0)}, e.directory)
+				e.run("agent0:1", "")
+				e.await0("ready", reportLimit)
+				late.Put(watch.Member{ID: engineName(1), Zone: "a", Kind: "m", Phase: watch.Up, Size: 1})
+				put([]watch.Member{member0(watch.Up, 0), member0(phase, 0)}, late)
+				e.startAgentOf(late, "agent1:1", standin.Overload{})
+				e.source.SetAddr("agent1:1")
+				e.await0(known, time.Second)
+				put([]watch.Member{member0(watch.Up, 0)}, late)
+				e.await0("ready", 200*time.Millisecond)
+			})
+		})
+	}
+}
--- a/internal/discovery/watch/overload_test.go
+++ b/internal/discovery/watch/overload_test.go
@@ -79,7 +79,7 @@
 
 	mu        sync.Mutex
 	listeners map[string]*pipeListener
-	engines   map[string]decide.Condition // as last reported
+	engines   map[string]discovery.Engine // as last reported
 	failures  int                         // reported failures
 }
 
@@ -136,11 +136,16 @@
 
 // startAgent starts an agent at an address.
 func (e *environment) startAgent(addr string, o standin.Overload) *standin.Agent {
+	return e.startAgentOf(e.directory, addr, o)
+}
+
+// startAgentOf starts an agent that reports a directory.
+func (e *environment) startAgentOf(d *standin.Directory, addr string, o standin.Overload) *standin.Agent {
 	l := newPipeListener()
 	e.mu.Lock()
 	e.listeners[addr] = l
 	e.mu.Unlock()
-	a := standin.NewAgentOn(l, e.directory, func(member string) string { return member + ":1" })
+	a := standin.NewAgentOn(l, d, func(member string) string { return member + ":1" })
 	a.SetOverload(o)
 	e.t.Cleanup(a.Close)
 	return a
@@ -181,9 +186,9 @@
 		e.failures++
 		return
 	}
-	e.engines = map[string]decide.Condition{}
-	for i := range u.Engines {
-		e.engines[u.Engines[i].Name] = u.Engines[i].State
+	e.engines = map[string]discovery.Engine{}
+	for _, engine := range u.Engines {
+		e.engines[engine.Name] = engine
 	}
 }
 
@@ -191,8 +196,8 @@
 func (e *environment) state(i int) (decide.Condition, bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	state, listed := e.engines[engineName(i)]
-	return state, listed
+	engine, listed := e.engines[engineName(i)]
+	return engine.State, listed
 }
 
 // await waits until a condition holds, which only an update can change, and returns how long that took. The test ends if
--- a/internal/discovery/watch/watch.go
+++ b/internal/discovery/watch/watch.go
@@ -30,8 +30,7 @@
 	moved chan struct{} // receives a value after a change of addr
 
 	mu    sync.Mutex
-	addr  string // of the agent
-	moves int    // how often addr has changed
+	agent agentAddr
 
 	// The following fields belong to Run.
 	notify  func(discovery.Update)
@@ -48,6 +47,13 @@
 	needComplete bool          // the next round requests the whole list
 }
 
+// agentAddr is the address of the agent.
+type agentAddr struct {
+	addr    string
+	moves   int       // how often addr has changed
+	movedAt time.Time // when addr last changed; zero: never
+}
+
 // round is one attempt to get a response. It begins with a watch or with a call for the whole list. As long as there is
 // no response, further calls for the whole list are made beside it. The round ends with the first valid response, when
 // all its calls have failed, or after its time. The failure of one call ends no other call: an agent that is slow or
@@ -67,7 +73,7 @@
 	// A dial may outlive the call that started it, so it has its own timeout. Otherwise dials that never complete
 	// would use up MaxConnsPerHost for minutes.
 	dialer := &net.Dialer{Timeout: dialTimeout}
-	return &Source{addr: addr, timing: defaultTiming(), log: log, moved: make(chan struct{}, 1), pause: firstPause, needComplete: true,
+	return &Source{agent: agentAddr{addr: addr}, timing: defaultTiming(), log: log, moved: make(chan struct{}, 1), pause: firstPause, needComplete: true,
 		list: serverList{cached: cached, log: log, regressionWindow: regressionWindow, members: members{kinds: kinds, log: log}},
 		http: http.Client{Transport: &http.Transport{DialContext: dialer.DialContext,
 			MaxIdleConns: 1, MaxConnsPerHost: maxCalls + 1, DisableCompression: true,
@@ -79,12 +85,11 @@
 func (s *Source) SetAddr(addr string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if addr == s.addr {
+	if addr == s.agent.addr {
 		return
 	}
-	s.log.Info("discovery moves", "from", s.addr, "to", addr)
-	s.addr = addr
-	s.moves++
+	s.log.Info("discovery moves", "from", s.agent.addr, "to", addr)
+	s.agent = agentAddr{addr: addr, moves: s.agent.moves + 1, movedAt: time.Now()}
 	select {
 	case s.moved <- struct{}{}:
 	default:
@@ -119,24 +124,24 @@
 
 // followMove begins a round at the new address after a change of the address.
 func (s *Source) followMove(ctx context.Context) {
-	if _, move := s.currentAddr(); move != s.move {
+	if s.currentAgent().moves != s.move {
 		s.beginRound(ctx)
 	}
 }
 
-// currentAddr returns the address of the agent, and how often it has changed.
-func (s *Source) currentAddr() (addr string, moves int) {
+// currentAgent returns the address of the agent.
+func (s *Source) currentAgent() agentAddr {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.addr, s.moves
+	return s.agent
 }
 
 // beginRound begins a round at the current address.
 func (s *Source) beginRound(ctx context.Context) {
-	addr, move := s.currentAddr()
-	if move != s.move {
+	agent := s.currentAgent()
+	if agent.moves != s.move {
 		s.http.CloseIdleConnections()
-		s.move, s.latency, s.pause, s.needComplete = move, latency{}, firstPause, true
+		s.move, s.latency, s.pause, s.needComplete = agent.moves, latency{}, firstPause, true
 		s.failedRounds, s.overdueCalls = 0, 0
 	}
 	now := time.Now()
@@ -144,12 +149,12 @@
 	s.resumeAt = time.Time{}
 	s.round = round{startedAt: now}
 	if s.needComplete {
-		s.startCall(ctx, &call{addr: addr, move: move})
+		s.startCall(ctx, &call{agent: agent})
 		s.round.silentAt = now.Add(s.startTimeout)
 		s.round.nextCallAt = now.Add(withJitter(s.hedgeIntervalOf(estimate, s.round.calls, 0)))
 		return
 	}
-	s.startCall(ctx, &call{addr: addr, move: move, isWatch: true, since: s.list.revision, wait: s.watchTimeout})
+	s.startCall(ctx, &call{agent: agent, isWatch: true, since: s.list.revision, wait: s.watchTimeout})
 	s.round.silentAt = now.Add(s.lateAfter(estimate))
 	s.round.nextCallAt = s.round.silentAt
 }
@@ -226,11 +231,11 @@
 		return
 	}
 	if !now.Before(s.round.nextCallAt) {
-		addr, move := s.currentAddr()
-		if move != s.move {
+		agent := s.currentAgent()
+		if agent.moves != s.move {
 			return // followMove begins a round
 		}
-		s.startCall(ctx, &call{addr: addr, move: move})
+		s.startCall(ctx, &call{agent: agent})
 		s.round.nextCallAt = now.Add(withJitter(s.hedgeIntervalOf(s.latency.estimate(), s.round.calls, s.round.rejected)))
 	}
 }
@@ -247,7 +252,7 @@
 		s.handleFailure(r.call, r.err)
 		return
 	}
-	needComplete, err := s.list.apply(r.call, r.list)
+	needComplete, err := s.list.apply(r)
 	if errors.Is(err, errOutdated) {
 		s.handleResponse(ctx, r)
 		return
@@ -256,7 +261,7 @@
 		s.handleFailure(r.call, err)
 		return
 	}
-	if r.call.move == s.move {
+	if r.call.agent.moves == s.move {
 		s.needComplete = needComplete
 	}
 	s.notify(s.list.update())
@@ -266,7 +271,7 @@
 // handleResponse ends the round, if the response is for its address, and begins the next one.
 func (s *Source) handleResponse(ctx context.Context, r *callResult) {
 	older := func(c *call) bool { return c.startedAt.Before(r.call.startedAt) }
-	if r.call.move != s.move {
+	if r.call.agent.moves != s.move {
 		s.calls.cancel(older)
 		return
 	}
@@ -297,7 +302,7 @@
 
 // handleFailure handles the failure of a call. It ends the round if no other call is in flight.
 func (s *Source) handleFailure(c *call, err error) {
-	if c.move != s.move {
+	if c.agent.moves != s.move {
 		return // its address is not used any more
 	}
 	now := time.Now()
--- a/internal/discovery/watch/watch_test.go
+++ b/internal/discovery/watch/watch_test.go
@@ -311,10 +311,13 @@
 }
 
 // After a change to the address of an agent with lower revisions, that agent's list is used at once, also if the
-// change is made between two calls.
+// change is made between two calls. An engine that it lists and that was not listed before has just started: otherwise
+// it may have been removed (see TestNewerListAfterMove).
 func TestSetAddrWithLowerRevision(t *testing.T) {
-	a := startAgent(t, list(41, true, member("s1", "h:1", "up", 0)))
-	b := startAgent(t, list(3, true, member("s2", "h:2", "up", 0)), list(4, false, member("s2", "h:2", "draining", 0)))
+	started := time.Now().Add(time.Hour).UnixMilli()
+	a := startAgent(t, list(41, true, member("s1", "h:1", "up", 0), member("s3", "h:3", "up", 0)))
+	b := startAgent(t, list(3, true, member("s2", "h:2", "up", started), member("s3", "h:3", "up", 0)),
+		list(4, false, member("s2", "h:2", "draining", started)))
 	s := New(a.addr(), []string{"m2"}, nil, discardLogger())
 	updates := make(chan discovery.Update, 10)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -331,7 +334,8 @@
 		})
 	}()
 	defer func() { cancel(); <-done }()
-	for i, want := range []string{"s1 h:1 up 0", "s2 h:2 up 0", "s2 h:2 draining 0"} {
+	for i, want := range []string{"s1 h:1 up 0, s3 h:3 up 0", fmt.Sprintf("s2 h:2 up %d, s3 h:3 up 0", started),
+		fmt.Sprintf("s2 h:2 draining %d, s3 h:3 up 0", started)} {
 		if got := nextUpdate(t, updates); got != want {
 			t.Errorf("update %d: %q, want %q", i, got, want)
 		}
