Discovery: an older list of a restarted agent no longer makes withdrawn engines ready

Change: lists with restarted revisions are a generation of their own, too. It settles 6 s after the first of them, the time within which any change has to be reported.

TestOlderListOfRestartedAgent failed in 18 of its 27 cases before (those behind by more than 2 s), passes now.

--- a/internal/discovery/watch/generation.go
+++ b/internal/discovery/watch/generation.go
@@ -7,9 +7,14 @@
 	"mintdoor/internal/discovery"
 )
 
-// moveSettleTime is how long after a change of its address discovery may report an older list than the agent before has
-// reported.
-const moveSettleTime = 4 * time.Second
+const (
+	// moveSettleTime is how long after a change of its address discovery may report an older list than the agent before
+	// has reported.
+	moveSettleTime = 4 * time.Second
+	// restartSettleTime is the same after an agent's revisions have restarted: the time within which any change has to
+	// be reported.
+	restartSettleTime = 6 * time.Second
+)
 
 // generation is a sequence of lists that are ordered by their revisions: those of one agent, as long as its revisions
 // grow. The lists of two generations have no certain order, because an agent may be behind the one before it and counts
--- a/internal/discovery/watch/list.go
+++ b/internal/discovery/watch/list.go
@@ -97,12 +97,23 @@
 	if !c.agent.movedAt.IsZero() {
 		settlesAt = c.agent.movedAt.Add(moveSettleTime)
 	}
+	if !s.regressedSince.IsZero() {
+		settlesAt = latest(settlesAt, s.regressedSince.Add(restartSettleTime))
+	}
 	revision := max(s.revision, s.generation.revision)
 	s.generation = newGeneration(s.engines, revision, s.appliedAt, settlesAt)
 	s.log.Info("list of another agent, or of restarted revisions", "agent", c.agent.addr, "revision", l.Revision,
 		"agent_before", s.agent, "revision_before", s.revision, "members", len(l.Members))
 }
 
+// latest returns the later of two times.
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // useCached makes the cached list the server list, once, if no agent has responded. It returns false if there is none
 // or it can't be used.
 func (s *serverList) useCached() bool {
--- a/internal/discovery/watch/older_list_test.go
+++ b/internal/discovery/watch/older_list_test.go
@@ -205,3 +205,46 @@
 		})
 	}
 }
+
+// replaceAgent ends the agent at an address and starts another one there, which reports a directory.
+func (e *environment) replaceAgent(a *standin.Agent, d *standin.Directory, addr string, o standin.Overload) *standin.Agent {
+	a.Close()
+	return e.startAgentOf(d, addr, o)
+}
+
+// Guards against an agent that was restarted and reports an older list for a while: engines that had drained or were
+// removed became ready again after 2 s.
+func TestOlderListOfRestartedAgent(t *testing.T) {
+	first := []watch.Member{member0(watch.Up, firstStart)}
+	for name, c := range map[string]struct {
+		newer          []watch.Member // which the restarted agent does not report at first
+		known, allowed string
+	}{
+		"drain":   {[]watch.Member{member0(watch.Draining, firstStart)}, "draining", ""},
+		"removal": {[]watch.Member{member0(watch.Removed, firstStart)}, "gone", ""},
+		"restart": {[]watch.Member{member0(watch.Up, secondStart)}, "ready since 2000", "ready since 2000"},
+	} {
+		for _, delay := range []time.Duration{0, 300 * time.Millisecond, 800 * time.Millisecond} {
+			for _, behind := range []time.Duration{time.Second, 3500 * time.Millisecond, reportLimit - 20*time.Millisecond} {
+				t.Run(fmt.Sprintf("%s, %v, %v behind", name, delay, behind), func(t *testing.T) {
+					synctest.Test(t, func(t *testing.T) {
+						e, late := newEnvironment(t), standin.NewDirectory()
+						a := e.startAgent("agent0:1", standin.Overload{})
+						put(first, e.directory, late)
+						e.run("agent0:1", "")
+						e.awaitFirstList()
+						put(c.newer, e.directory)
+						e.await0(c.known, reportLimit)
+						e.replaceAgent(a, late, "agent0:1", standin.Overload{Delay: delay})
+						e.hold(behind, c.allowed)
+						put(c.newer, late)
+						e.hold(2*reportLimit, c.allowed)
+						if e.describe() != c.known {
+							t.Errorf("in the end e0 is %s, want %s", e.describe(), c.known)
+						}
+					})
+				})
+			}
+		}
+	}
+}
