Discovery: drains that an agent with restarted revisions reports are known within their grace

What it reported was not used for 2 s, while the grace of a drain is 1 s from when it was reported; what changes to an unknown list or a failed round listed as draining was lost.

Change: a whole list with lower revisions is used at once, as lists that have not settled make no withdrawn engine ready. Only one without members must be repeated, for 0.4 s. Of a response that can't be applied its drains are used.

--- a/internal/discovery/watch/list.go
+++ b/internal/discovery/watch/list.go
@@ -10,9 +10,9 @@
 	"mintdoor/internal/discovery"
 )
 
-// regressionWindow is how long an agent must keep reporting an older revision than before, until its revisions are
-// assumed to have restarted.
-const regressionWindow = 2 * time.Second
+// regressionWindow is how long an agent must keep reporting an older list without members, until it is believed. A drain
+// has to be known within its grace.
+const regressionWindow = 400 * time.Millisecond
 
 // serverList is the server list, as agents have reported it.
 type serverList struct {
@@ -40,7 +40,7 @@
 func (s *serverList) isUnknown() bool { return s.agent == "" && len(s.engines) == 0 }
 
 // apply applies the response to a call, and reports whether the whole list has to be requested next. If it returns an
-// error, the list is unchanged.
+// error, the list is unchanged; what the response withdraws is left to withdraw.
 func (s *serverList) apply(r *callResult) (needComplete bool, err error) {
 	now := time.Now()
 	c, l := r.call, r.list
@@ -56,7 +56,7 @@
 		if s.regressedSince.IsZero() {
 			s.regressedSince = now
 		}
-		if !l.Complete || now.Sub(s.regressedSince) < s.regressionWindow {
+		if !l.Complete || len(l.Members) == 0 && now.Sub(s.regressedSince) < s.regressionWindow {
 			return true, fmt.Errorf("discovery's revision %d is older than %d", l.Revision, s.revision)
 		}
 	}
@@ -114,6 +114,20 @@
 	return b
 }
 
+// withdraw marks the engines as draining that a response lists as draining or removed, although the response could not
+// be applied. It reports whether there are any. The next whole list decides about them.
+func (s *serverList) withdraw(l *response) bool {
+	names := withdrawnMembers(l)
+	marked, changed := markDraining(s.engines, names)
+	if !changed {
+		return false
+	}
+	s.engines = marked
+	s.members.list, _ = markDraining(s.members.list, names)
+	s.needComplete = true
+	return true
+}
+
 // useCached makes the cached list the server list, once, if no agent has responded. It returns false if there is none
 // or it can't be used.
 func (s *serverList) useCached() bool {
--- a/internal/discovery/watch/members.go
+++ b/internal/discovery/watch/members.go
@@ -165,6 +165,29 @@
 	return m, fmt.Errorf("member %.40q: %w", m.ID, err)
 }
 
+// withdrawnMembers returns the names of the members that a response lists as draining or removed.
+func withdrawnMembers(l *response) map[string]bool {
+	names := map[string]bool{}
+	for _, raw := range l.Members[:min(len(l.Members), maxMembers)] {
+		if m, _ := decodeMember(raw); m.ID != "" && (m.Phase == Draining || m.Phase == Removed) {
+			names[m.ID] = true
+		}
+	}
+	return names
+}
+
+// markDraining returns a copy of a list in which the named engines drain, and reports whether one of them was ready.
+func markDraining(list []discovery.Engine, names map[string]bool) (marked []discovery.Engine, changed bool) {
+	marked = slices.Clone(list)
+	for i := range marked {
+		if names[marked[i].Name] && marked[i].State == decide.Ready {
+			marked[i].State = decide.Draining
+			changed = true
+		}
+	}
+	return marked, changed
+}
+
 // errUnknownKind is the error of a member whose engine kind is not in the settings.
 var errUnknownKind = errors.New("the settings do not have its kind")
 
--- a/internal/discovery/watch/older_list_test.go
+++ b/internal/discovery/watch/older_list_test.go
@@ -248,3 +248,42 @@
 		}
 	}
 }
+
+// Guards against drains and removals that an agent with restarted revisions reports being used only after 2 s: the
+// grace of a drain begins when it is reported. That an engine is ready again counts once its list can't be older.
+func TestRestartedAgentIsHeard(t *testing.T) {
+	const graceLimit = time.Second - time.Duration(decide.MaxPause)
+	up := []watch.Member{member0(watch.Up, firstStart)}
+	drained := []watch.Member{member0(watch.Up, firstStart), member0(watch.Draining, firstStart)}
+	for name, c := range map[string]struct {
+		before, after []watch.Member
+		want          string
+		limit         time.Duration // after the first response of the restarted agent
+	}{
+		"drains":           {up, drained, "draining", graceLimit},
+		"is gone":          {up, nil, "gone", graceLimit},
+		"ready again":      {drained, up, "ready since 1000", 2 * reportLimit},
+		"restarted":        {drained, []watch.Member{member0(watch.Up, secondStart)}, "ready since 2000", graceLimit},
+		"is new":           {nil, []watch.Member{member0(watch.Up, lateStart)}, "ready since 4102444800000", graceLimit},
+		"is new, but old?": {nil, up, "ready since 1000", 2 * reportLimit},
+	} {
+		for _, delay := range []time.Duration{0, 300 * time.Millisecond, 800 * time.Millisecond, 2 * time.Second} {
+			t.Run(fmt.Sprintf("%s, %v", name, delay), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					e, next := newEnvironment(t), standin.NewDirectory()
+					a := e.startAgent("agent0:1", standin.Overload{})
+					put(c.before, e.directory)
+					e.run("agent0:1", "")
+					e.awaitFirstList()
+					next.Put(watch.Member{ID: engineName(1), Zone: "a", Kind: "m", Phase: watch.Up, Size: 1})
+					put(c.after, next)
+					a = e.replaceAgent(a, next, "agent0:1", standin.Overload{Delay: delay})
+					for _, reported := a.Reported(); !reported; _, reported = a.Reported() {
+						time.Sleep(10 * time.Millisecond)
+					}
+					e.await0(c.want, c.limit)
+				})
+			})
+		}
+	}
+}
--- a/internal/discovery/watch/watch.go
+++ b/internal/discovery/watch/watch.go
@@ -258,6 +258,9 @@
 		return
 	}
 	if err != nil {
+		if s.list.withdraw(r.list) {
+			s.notify(s.list.update())
+		}
 		s.handleFailure(r.call, err)
 		return
 	}
