Discovery: drains in responses that arrive while another one is handled are no longer lost

A drain counts as reported once it is written to the router. A response that ended a round cancelled the other calls, also those whose responses had arrived meanwhile: what the agent before a move, or the same agent in a parallel call, had just reported was dropped and known only with the next call, at a slow or lagging agent seconds later.

Change: the response to a cancelled call is applied if its order is known. Otherwise its drains and removals are used until the generation has settled.

TestDrainReportedByAgentThatIsLeft and TestDrainReportedToParallelCall failed before (3 of 3 cases), pass now.

--- a/internal/discovery/watch/generation.go
+++ b/internal/discovery/watch/generation.go
@@ -65,6 +65,15 @@
 	return out
 }
 
+// remember makes the named engines of a list known as they are there.
+func (g *generation) remember(list []discovery.Engine, names map[string]bool) {
+	for _, e := range list {
+		if names[e.Name] {
+			g.known[e.Name] = e
+		}
+	}
+}
+
 // isNew reports whether an engine that was not listed before has not been removed since. It has not if its process
 // started after the list before was reported, or if the list is not older by its revision.
 func (g *generation) isNew(e *discovery.Engine, revision int64) bool {
--- a/internal/discovery/watch/list.go
+++ b/internal/discovery/watch/list.go
@@ -32,9 +32,13 @@
 	regressionWindow time.Duration
 }
 
-// errOutdated is the error of a response that is older than the list although nothing is wrong with it: its call was
-// made before the list was reported.
-var errOutdated = errors.New("the response is older than the list")
+// Errors of responses with which nothing is wrong.
+var (
+	// errOutdated is the error of a response that is older than the list: its call was made before the list was reported.
+	errOutdated = errors.New("the response is older than the list")
+	// errUnordered is the error of a response of a generation before the list's, which may be older or newer.
+	errUnordered = errors.New("the response belongs to an earlier generation than the list")
+)
 
 // isUnknown reports whether no engine is known and no agent has responded.
 func (s *serverList) isUnknown() bool { return s.agent == "" && len(s.engines) == 0 }
@@ -46,7 +50,7 @@
 	c, l := r.call, r.list
 	sameAgent := c.agent.addr == s.agent
 	if s.agent != "" && c.agent.moves < s.move {
-		return false, errOutdated
+		return false, errUnordered
 	}
 	restarted := sameAgent && l.Revision < s.revision
 	if restarted {
@@ -97,7 +101,7 @@
 	if !c.agent.movedAt.IsZero() {
 		settlesAt = c.agent.movedAt.Add(moveSettleTime)
 	}
-	if !s.regressedSince.IsZero() {
+	if c.agent.addr == s.agent {
 		settlesAt = latest(settlesAt, s.regressedSince.Add(restartSettleTime))
 	}
 	revision := max(s.revision, s.generation.revision)
@@ -115,7 +119,8 @@
 }
 
 // withdraw marks the engines as draining that a response lists as draining or removed, although the response could not
-// be applied. It reports whether there are any. The next whole list decides about them.
+// be applied. It reports whether there are any. They stay so until the generation has settled; if it has, the next whole
+// list decides about them.
 func (s *serverList) withdraw(l *response) bool {
 	names := withdrawnMembers(l)
 	marked, changed := markDraining(s.engines, names)
@@ -123,8 +128,12 @@
 		return false
 	}
 	s.engines = marked
-	s.members.list, _ = markDraining(s.members.list, names)
-	s.needComplete = true
+	if s.generation.hasSettled() {
+		s.members.list, _ = markDraining(s.members.list, names)
+		s.needComplete = true
+		return true
+	}
+	s.generation.remember(marked, names)
 	return true
 }
 
--- a/internal/discovery/watch/older_list_test.go
+++ b/internal/discovery/watch/older_list_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"mintdoor/decide"
+	"mintdoor/internal/discovery"
 	"mintdoor/internal/discovery/watch"
 	standin "mintdoor/internal/standin/chat"
 )
@@ -287,3 +288,61 @@
 		}
 	}
 }
+
+// Guards against a drain being lost that the agent before a move reports while the next agent's list is handled. The
+// next one is behind.
+func TestDrainReportedByAgentThatIsLeft(t *testing.T) {
+	for phase, want := range map[string]string{watch.Draining: "draining", watch.Removed: "draining"} {
+		t.Run(phase, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				e, late := newEnvironment(t), standin.NewDirectory()
+				up := []watch.Member{member0(watch.Up, 0)}
+				e.startAgent("agent0:1", standin.Overload{})
+				put(up, e.directory, late)
+				moved := false
+				e.onUpdate = func(discovery.Update) {
+					if moved {
+						moved = false
+						put([]watch.Member{member0(phase, 0)}, e.directory)
+						synctest.Wait() // until its report has arrived
+					}
+				}
+				e.run("agent0:1", "")
+				e.await0("ready", reportLimit)
+				e.startAgentOf(late, "agent1:1", standin.Overload{})
+				synctest.Wait()
+				moved = true
+				e.source.SetAddr("agent1:1")
+				e.await0(want, 100*time.Millisecond)
+				e.hold(moveLimit-200*time.Millisecond, "")
+				e.await0("ready", reportLimit) // the next agent has not heard of it
+			})
+		})
+	}
+}
+
+// Guards against a drain being lost that the response to one of several parallel calls reports while the response to
+// another one is handled.
+func TestDrainReportedToParallelCall(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const delay, busy = 1600 * time.Millisecond, 600 * time.Millisecond
+		e := newEnvironment(t)
+		a := e.startAgent("agent0:1", standin.Overload{})
+		e.run("agent0:1", "")
+		e.awaitFirstList()
+		a.SetOverload(standin.Overload{Delay: delay})
+		time.Sleep(1200 * time.Millisecond) // the watch's response is on its way, and reports nothing
+		put([]watch.Member{member0(watch.Draining, 0)}, e.directory)
+		first := true
+		e.onUpdate = func(discovery.Update) {
+			if first {
+				first = false
+				time.Sleep(busy) // until the response to the call that was made when the watch was late has arrived
+			}
+		}
+		for len(a.Notifications()) < 11 { // 10 engines, and the drain
+			time.Sleep(10 * time.Millisecond)
+		}
+		e.await0("draining", time.Second-time.Duration(decide.MaxPause))
+	})
+}
--- a/internal/discovery/watch/overload_test.go
+++ b/internal/discovery/watch/overload_test.go
@@ -76,6 +76,8 @@
 	source    *watch.Source
 
 	updated chan struct{} // receives a value after an update
+	// onUpdate, if set, is called at each update of the list, while the source waits.
+	onUpdate func(discovery.Update)
 
 	mu        sync.Mutex
 	listeners map[string]*pipeListener
@@ -180,6 +182,9 @@
 		default:
 		}
 	}()
+	if e.onUpdate != nil && u.Err == nil {
+		e.onUpdate(u)
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if u.Err != nil {
--- a/internal/discovery/watch/watch.go
+++ b/internal/discovery/watch/watch.go
@@ -114,6 +114,8 @@
 		case r := <-s.calls.results:
 			if s.calls.received(&r) {
 				s.handleResult(ctx, &r)
+			} else if r.err == nil {
+				s.handleLateResponse(&r)
 			}
 		case <-timer.C:
 			s.handleTimer(ctx)
@@ -257,6 +259,11 @@
 		s.handleResponse(ctx, r)
 		return
 	}
+	if errors.Is(err, errUnordered) {
+		s.handleUnordered(r)
+		s.handleResponse(ctx, r)
+		return
+	}
 	if err != nil {
 		if s.list.withdraw(r.list) {
 			s.notify(s.list.update())
@@ -271,6 +278,30 @@
 	s.handleResponse(ctx, r)
 }
 
+// handleLateResponse handles the response to a call that was cancelled while the response arrived. What it reports counts
+// as reported, but it ends no round.
+func (s *Source) handleLateResponse(r *callResult) {
+	needComplete, err := s.list.apply(r)
+	switch {
+	case err == nil:
+		s.needComplete = s.needComplete || needComplete
+		s.notify(s.list.update())
+	case errors.Is(err, errUnordered):
+		s.handleUnordered(r)
+	case !errors.Is(err, errOutdated) && s.list.withdraw(r.list):
+		s.needComplete = true
+		s.notify(s.list.update())
+	}
+}
+
+// handleUnordered handles the response of an agent that was left, or of one before its revisions restarted. Until the
+// list has settled, it is unknown which of them is older.
+func (s *Source) handleUnordered(r *callResult) {
+	if !s.list.generation.hasSettled() && s.list.withdraw(r.list) {
+		s.notify(s.list.update())
+	}
+}
+
 // handleResponse ends the round, if the response is for its address, and begins the next one.
 func (s *Source) handleResponse(ctx context.Context, r *callResult) {
 	older := func(c *call) bool { return c.startedAt.Before(r.call.startedAt) }
