Discovery: a late response from before an agent's revisions restarted is not the newest list

Change: such a response has no known order, like that of an agent that was left; its drains are used.

TestLateResponseFromBeforeRestart failed before, passes now.

--- a/internal/discovery/watch/list.go
+++ b/internal/discovery/watch/list.go
@@ -26,6 +26,7 @@
 	move           int       // how often the address had changed before the call that reported members
 	revision       int64     // revision of members, as counted by agent
 	appliedAt      time.Time // when members was last reported
+	restartedAt    time.Time // start of the first call that agent answered with restarted revisions; zero: none
 	regressedSince time.Time // since when agent has reported older revisions; zero: it does not
 	needComplete   bool      // members lacks changes that could not be read
 	// regressionWindow is set from the constant of the same name; tests shorten it.
@@ -49,7 +50,7 @@
 	now := time.Now()
 	c, l := r.call, r.list
 	sameAgent := c.agent.addr == s.agent
-	if s.agent != "" && c.agent.moves < s.move {
+	if s.agent != "" && c.agent.moves < s.move || sameAgent && c.startedAt.Before(s.restartedAt) {
 		return false, errUnordered
 	}
 	restarted := sameAgent && l.Revision < s.revision
@@ -101,7 +102,9 @@
 	if !c.agent.movedAt.IsZero() {
 		settlesAt = c.agent.movedAt.Add(moveSettleTime)
 	}
+	s.restartedAt = time.Time{}
 	if c.agent.addr == s.agent {
+		s.restartedAt = c.startedAt
 		settlesAt = latest(settlesAt, s.regressedSince.Add(restartSettleTime))
 	}
 	revision := max(s.revision, s.generation.revision)
--- a/internal/discovery/watch/watch_test.go
+++ b/internal/discovery/watch/watch_test.go
@@ -322,6 +322,33 @@
 	}
 }
 
+// Guards against a response from before an agent's revisions restarted, which arrives after that: it counted as the
+// newest list, by its higher revision. Its drains count, as it may be newer nevertheless.
+func TestLateResponseFromBeforeRestart(t *testing.T) {
+	s := New("a:1", []string{"m2"}, nil, discardLogger())
+	s.notify = func(discovery.Update) {}
+	start := time.Now()
+	respond := func(startedAfter time.Duration, text string) {
+		t.Helper()
+		l, err := decodeList([]byte(text))
+		if err != nil {
+			t.Fatal(err)
+		}
+		s.handleLateResponse(&callResult{call: &call{agent: s.currentAgent(), startedAt: start.Add(startedAfter)}, list: l})
+	}
+	respond(0, list(41, true, member("s1", "h:1", "up", 0), member("s2", "h:2", "up", 0)))
+	respond(2*time.Hour, list(7, true, member("s1", "h:1", "draining", 0), member("s2", "h:2", "up", 0)))
+	respond(time.Hour, list(42, true, member("s1", "h:1", "up", 0), member("s2", "h:2", "draining", 0)))
+	for _, e := range s.list.engines {
+		if e.State != decide.Draining {
+			t.Errorf("%s is ready", e.Name)
+		}
+	}
+	if s.list.revision != 7 {
+		t.Errorf("the list has the revision %d", s.list.revision)
+	}
+}
+
 // After a change to the address of an agent with lower revisions, that agent's list is used at once, also if the
 // change is made between two calls. An engine that it lists and that was not listed before has just started: otherwise
 // it may have been removed (see TestNewerListAfterMove).
