--- a/internal/discovery/watch/older_list_test.go
+++ b/internal/discovery/watch/older_list_test.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"mintdoor/decide"
-	"mintdoor/internal/discovery"
 	"mintdoor/internal/discovery/watch"
 	standin "mintdoor/internal/standin/chat"
 )
@@ -299,19 +298,14 @@
 				up := []watch.Member{member0(watch.Up, 0)}
 				e.startAgent("agent0:1", standin.Overload{})
 				put(up, e.directory, late)
-				moved := false
-				e.onUpdate = func(discovery.Update) {
-					if moved {
-						moved = false
-						put([]watch.Member{member0(phase, 0)}, e.directory)
-						synctest.Wait() // until its report has arrived
-					}
-				}
 				e.run("agent0:1", "")
 				e.await0("ready", reportLimit)
 				e.startAgentOf(late, "agent1:1", standin.Overload{})
 				synctest.Wait()
-				moved = true
+				e.setOnUpdate(func() {
+					put([]watch.Member{member0(phase, 0)}, e.directory)
+					synctest.Wait() // until its report has arrived
+				})
 				e.source.SetAddr("agent1:1")
 				e.await0(want, 100*time.Millisecond)
 				e.hold(moveLimit-200*time.Millisecond, "")
@@ -333,13 +327,8 @@
 		a.SetOverload(standin.Overload{Delay: delay})
 		time.Sleep(1200 * time.Millisecond) // the watch's response is on its way, and reports nothing
 		put([]watch.Member{member0(watch.Draining, 0)}, e.directory)
-		first := true
-		e.onUpdate = func(discovery.Update) {
-			if first {
-				first = false
-				time.Sleep(busy) // until the response to the call that was made when the watch was late has arrived
-			}
-		}
+		// The response to the call that was made when the watch was late arrives meanwhile.
+		e.setOnUpdate(func() { time.Sleep(busy) })
 		for len(a.Notifications()) < 11 { // 10 engines, and the drain
 			time.Sleep(10 * time.Millisecond)
 		}
--- a/internal/discovery/watch/overload_test.go
+++ b/internal/discovery/watch/overload_test.go
@@ -76,13 +76,12 @@
 	source    *watch.Source
 
 	updated chan struct{} // receives a value after an update
-	// onUpdate, if set, is called at each update of the list, while the source waits.
-	onUpdate func(discovery.Update)
 
 	mu        sync.Mutex
 	listeners map[string]*pipeListener
 	engines   map[string]discovery.Engine // as last reported
 	failures  int                         // reported failures
+	onUpdate  func()                      // called at the next update of the list, while the source waits
 }
 
 // maxTimelyDelay is the delay of an agent up to which every change is known within reportLimit. The number of calls in
@@ -182,8 +181,8 @@
 		default:
 		}
 	}()
-	if e.onUpdate != nil && u.Err == nil {
-		e.onUpdate(u)
+	if u.Err == nil {
+		e.takeOnUpdate()()
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -197,6 +196,25 @@
 	}
 }
 
+// takeOnUpdate returns onUpdate, which is then not called again.
+func (e *environment) takeOnUpdate() func() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	f := e.onUpdate
+	e.onUpdate = nil
+	if f == nil {
+		return func() {}
+	}
+	return f
+}
+
+// setOnUpdate sets what happens at the next update of the list.
+func (e *environment) setOnUpdate(f func()) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.onUpdate = f
+}
+
 // state returns an engine's state as last reported, and whether it is listed.
 func (e *environment) state(i int) (decide.Condition, bool) {
 	e.mu.Lock()
