Discovery: a cached list that is newer than the agent's first list keeps its drains

One with no higher revision counts no more, as before.

TestCachedListIsNewer failed in 3 of its 4 cases before (agents of 0, 0.3 and 2 s), passes now.

--- a/internal/discovery/watch/list.go
+++ b/internal/discovery/watch/list.go
@@ -24,7 +24,7 @@
 
 	agent          string    // address of the agent that reported members; "" before the first response
 	move           int       // how often the address had changed before the call that reported members
-	revision       int64     // revision of members, as counted by agent
+	revision       int64     // revision of members, as counted by agent, or in the cached list
 	appliedAt      time.Time // when members was last reported
 	restartedAt    time.Time // start of the first call that agent answered with restarted revisions; zero: none
 	regressedSince time.Time // since when agent has reported older revisions; zero: it does not
@@ -98,14 +98,13 @@
 
 // beginGeneration begins a generation of lists with the response of another agent, or of one whose revisions restarted.
 func (s *serverList) beginGeneration(c *call, l *response) {
-	var settlesAt time.Time
-	if !c.agent.movedAt.IsZero() {
-		settlesAt = c.agent.movedAt.Add(moveSettleTime)
+	if s.agent == "" {
+		s.useNewerCached(l.Revision)
 	}
+	settlesAt := s.settlesAt(c, l)
 	s.restartedAt = time.Time{}
 	if c.agent.addr == s.agent {
 		s.restartedAt = c.startedAt
-		settlesAt = latest(settlesAt, s.regressedSince.Add(restartSettleTime))
 	}
 	revision := max(s.revision, s.generation.revision)
 	s.generation = newGeneration(s.engines, revision, s.appliedAt, settlesAt)
@@ -113,6 +112,21 @@
 		"agent_before", s.agent, "revision_before", s.revision, "members", len(l.Members))
 }
 
+// settlesAt returns when a generation settles that begins with a response.
+func (s *serverList) settlesAt(c *call, l *response) time.Time {
+	var moveSettlesAt time.Time
+	if !c.agent.movedAt.IsZero() {
+		moveSettlesAt = c.agent.movedAt.Add(moveSettleTime)
+	}
+	switch {
+	case c.agent.addr == s.agent:
+		return latest(moveSettlesAt, s.regressedSince.Add(restartSettleTime))
+	case moveSettlesAt.IsZero() && l.Revision < s.revision: // the cached list is newer
+		return time.Now().Add(restartSettleTime)
+	}
+	return moveSettlesAt
+}
+
 // latest returns the later of two times.
 func latest(a, b time.Time) time.Time {
 	if a.After(b) {
@@ -142,7 +156,10 @@
 
 // useCached makes the cached list the server list, once, if no agent has responded. It returns false if there is none
 // or it can't be used.
-func (s *serverList) useCached() bool {
+func (s *serverList) useCached() bool { return s.useNewerCached(-1) }
+
+// useNewerCached is useCached, if the cached list has a higher revision than the given one.
+func (s *serverList) useNewerCached(revision int64) bool {
 	cached := s.cached
 	s.cached = nil
 	if s.agent != "" || len(cached) == 0 || bytes.Equal(cached, []byte("null")) {
@@ -153,8 +170,11 @@
 		s.log.Warn("the cached list of engines is not used", "err", err)
 		return false
 	}
+	if l.Revision <= revision {
+		return false
+	}
 	s.members.apply(l)
-	s.engines = s.members.list
+	s.engines, s.revision = s.members.list, l.Revision
 	return true
 }
 
--- a/internal/discovery/watch/older_list_test.go
+++ b/internal/discovery/watch/older_list_test.go
@@ -335,3 +335,33 @@
 		e.await0("draining", time.Second-time.Duration(decide.MaxPause))
 	})
 }
+
+// Guards against an agent that is behind the cached list when a router starts: engines that drained in the cached list
+// were used. A cached list with a lower revision is older than the agent's, and counts no more.
+func TestCachedListIsNewer(t *testing.T) {
+	cached := func(revision int) string {
+		return fmt.Sprintf(`{"revision":%d,"complete":true,"members":[{"id":"e0","host_port":"e0:1","locality":"a","flavor":"m",`+
+			`"phase":"draining","size":1},{"id":"e1","host_port":"e1:1","locality":"a","flavor":"m","phase":"up","size":1}]}`, revision)
+	}
+	for _, delay := range []time.Duration{0, 300 * time.Millisecond, 2 * time.Second} {
+		t.Run(delay.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				e := newEnvironment(t)
+				e.startAgent("agent0:1", standin.Overload{Delay: delay})
+				e.run("agent0:1", cached(900))
+				e.awaitFirstList()
+				e.hold(reportLimit-10*time.Millisecond, "")
+				e.await0("ready", 2*reportLimit)
+			})
+		})
+	}
+	synctest.Test(t, func(t *testing.T) {
+		e := newEnvironment(t)
+		e.startAgent("agent0:1", standin.Overload{})
+		e.run("agent0:1", cached(3))
+		e.awaitFirstList()
+		if got := e.describe(); got != "ready" {
+			t.Errorf("e0 is %s", got)
+		}
+	})
+}
