Soak: after SIGHUP an agent may be behind the one before it

Half of the SIGHUPs (none while agents are overloaded) drain an engine and then move a router to an agent that reports the directory from before the drain, for 0.5 to 3.8 s.

--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -56,6 +56,8 @@
 	picker       *routerPicker
 	killDelay    time.Duration // minimum time from SIGTERM to SIGKILL
 	readyTimeout time.Duration // time within which a router has to be ready
+	// firstRevision is that of the list with the first engines; no agent is behind it.
+	firstRevision int64
 
 	mu             sync.Mutex
 	largeFault     bool // a fault of many engines is in progress
@@ -74,7 +76,7 @@
 // newInjector returns an injector that has injected nothing yet.
 func newInjector(tb *Testbed, t *traffic, picker *routerPicker, log *slog.Logger) *injector {
 	return &injector{testbed: tb, log: log, traffic: t, picker: picker, killDelay: minKillDelay(tb.opts.classes),
-		readyTimeout: 30 * time.Second, faultCounts: map[string]int{},
+		readyTimeout: 30 * time.Second, firstRevision: tb.Directory.Revision(), faultCounts: map[string]int{},
 		busyRouters: map[int]bool{}, behaviours: map[string][]*standin.Behaviour{}, dropping: map[*standin.Proxy]int{}, stallingDials: map[*standin.Proxy]int{},
 		delaying: map[*standin.Proxy]int{}}
 }
--- a/internal/soak/faults_processes.go
+++ b/internal/soak/faults_processes.go
@@ -117,7 +117,7 @@
 			in.pauseRouter(r, randomDuration(random, millis(20), millis(150)))
 		case 1:
 			in.count("SIGHUP in a shutdown", 1)
-			in.changeAgent(r)
+			in.changeAgent(r, func(*standin.Agent) {})
 		default:
 			in.count("SIGTERM in a shutdown", 1)
 			r.terminateAgain()
@@ -162,23 +162,54 @@
 	in.pauseRouter(in.anyRouter(random), randomDuration(random, millis(300), millis(1500)))
 }
 
-// changeAgents gives a router new configurations, sometimes several in quick succession.
+// changeAgents gives a router new configurations, sometimes several in quick succession, or one with an agent that is
+// behind the one before.
 func (in *injector) changeAgents(random *rand.Rand) {
 	r := in.anyRouter(random)
+	if in.beginCallLoss() { // an agent that is behind is not overloaded as well: changes would be reported too late
+		defer in.endCallLoss()
+		if random.IntN(2) == 0 {
+			in.changeToAgentBehind(r, random)
+			return
+		}
+	}
 	for range 1 + random.IntN(3) {
-		in.changeAgent(r)
+		in.changeAgent(r, func(*standin.Agent) {})
 		time.Sleep(randomDuration(random, 0, millis(120)))
 	}
 }
 
+// maxMoveLag is how long after a new configuration an agent may be behind the one before. Everything counts as reported
+// 4 s after SIGHUP, which a busy machine may deliver late.
+const maxMoveLag = 3800 * time.Millisecond
+
+// changeToAgentBehind drains an engine, and then configures a router with an agent that does not know of the drain, nor of
+// what happened just before it.
+func (in *injector) changeToAgentBehind(r *Router, random *rand.Rand) {
+	before := max(in.testbed.Directory.Revision()-int64(random.IntN(4)), in.firstRevision)
+	length := randomDuration(random, millis(500), maxMoveLag)
+	if e := in.claimEngine(random); e != nil {
+		in.count("drains before an agent is behind", 1)
+		var drain sync.WaitGroup
+		defer drain.Wait()
+		drain.Go(func() { in.drainEngineFor(e, length+randomDuration(random, millis(1000), millis(3000))) })
+	}
+	time.Sleep(randomDuration(random, millis(50), millis(1500)))
+	in.log.Info("agent is behind", "router", r.Index, "revision", before, "for", length)
+	in.count("agents behind", 1)
+	in.changeAgent(r, func(a *standin.Agent) { a.StayBehind(before, length) })
+	time.Sleep(length)
+}
+
 // oldAgentLifetime is how long an agent continues its open calls after the router was configured with another one.
 const oldAgentLifetime = 1500 * time.Millisecond
 
 // minReadyBeforeSIGHUP is how long a process must have been ready before it gets SIGHUP.
 const minReadyBeforeSIGHUP = time.Second
 
-// changeAgent configures a router with a new agent. The old agent accepts no new connections, and ends a while later.
-func (in *injector) changeAgent(r *Router) {
+// changeAgent configures a router with a new agent, after prepare was called with it. The old agent accepts no new
+// connections, and ends a while later.
+func (in *injector) changeAgent(r *Router, prepare func(*standin.Agent)) {
 	if !r.readyFor(minReadyBeforeSIGHUP) {
 		return
 	}
@@ -190,6 +221,7 @@
 	if o := old.Overload(); o != (standin.Overload{}) {
 		a.SetOverload(o)
 	}
+	prepare(a)
 	if r.UseAgent(a) != nil {
 		return
 	}
--- a/internal/standin/chat/discovery.go
+++ b/internal/standin/chat/discovery.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math"
 	"net"
 	"net/http"
 	"strconv"
@@ -89,21 +90,25 @@
 	return append([]Interval(nil), d.outages...)
 }
 
-// changesSince returns the changes after a revision, or the whole list for a negative revision, and a channel that is
-// closed at the next change. The returned outages are those of countOutages.
-func (d *Directory) changesSince(revision int64) (list watch.List, changes []change, next <-chan struct{}, outages int) {
+// latestRevision stands for whatever revision the directory has.
+const latestRevision = int64(math.MaxInt64)
+
+// changesSince returns the changes after a revision, or the whole list for a negative one, as they were at the revision
+// until, and a channel that is closed at the next change. The returned outages are those of countOutages.
+func (d *Directory) changesSince(revision, until int64) (list watch.List, changes []change, next <-chan struct{}, outages int) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	list = watch.List{Revision: d.revision, Complete: revision < 0, Members: []watch.Member{}}
+	list = watch.List{Revision: min(d.revision, until), Complete: revision < 0, Members: []watch.Member{}}
 	if revision < 0 {
+		members := d.membersAt(until)
 		for _, id := range d.order {
-			if m := d.members[id]; m.Phase != watch.Removed {
+			if m, known := members[id]; known && m.Phase != watch.Removed {
 				list.Members = append(list.Members, m)
 			}
 		}
 	}
 	for _, c := range d.changes {
-		if c.revision > revision {
+		if c.revision > revision && c.revision <= until {
 			changes = append(changes, c)
 			if revision >= 0 {
 				list.Members = append(list.Members, c.member)
@@ -113,6 +118,27 @@
 	return list, changes, d.changed, d.countOutages()
 }
 
+// membersAt returns the members at a revision, by id. mu is held.
+func (d *Directory) membersAt(revision int64) map[string]watch.Member {
+	if revision >= d.revision {
+		return d.members
+	}
+	members := map[string]watch.Member{}
+	for _, c := range d.changes {
+		if c.revision <= revision {
+			members[c.member.ID] = c.member
+		}
+	}
+	return members
+}
+
+// Revision returns the revision of the last change.
+func (d *Directory) Revision() int64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.revision
+}
+
 // countOutages returns a number that changes at the beginning and at the end of each outage, and is odd during one. mu
 // is held.
 func (d *Directory) countOutages() int {
@@ -155,6 +181,7 @@
 	overload      Overload
 	calls         int                     // so far
 	reported      map[string]watch.Member // the list as last reported
+	behind        *lag                    // nil: the agent has what the directory has
 }
 
 // NewAgent starts an agent for a router. It listens on host.
@@ -260,9 +287,10 @@
 	}
 	timer := time.NewTimer(timeout)
 	defer timer.Stop()
-	_, _, _, outagesBefore := a.directory.changesSince(revision)
+	outagesBefore := a.directory.outageCount()
 	for timedOut := timeout == 0; ; {
-		list, changes, next, outages := a.directory.changesSince(revision)
+		until, caughtUp := a.visible()
+		list, changes, next, outages := a.directory.changesSince(revision, until)
 		if outages != outagesBefore || outages%2 == 1 { // calls that meet an outage are never answered
 			<-r.Context().Done()
 			return
@@ -275,6 +303,7 @@
 		}
 		select {
 		case <-next:
+		case <-caughtUp:
 		case <-timer.C:
 			timedOut = true
 		case <-hung:
