Discovery: a restarted agent that has the known revision is heard

An agent that counts anew and has just the revision that is known was not heard until its next change: the HTTP client sent a watch whose connection had broken again by itself, and the restarted agent had no changes to report; a whole list of the known revision was skipped unread. Drains that it had were missed.

Change: a watch whose connection breaks fails, so that the whole list is requested. A whole list of the known revision is skipped only if it has the same bytes; if its engines differ it begins a generation, like lower revisions.

--- a/internal/discovery/watch/calls.go
+++ b/internal/discovery/watch/calls.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptrace"
 	"slices"
 	"strconv"
 	"time"
@@ -29,6 +31,24 @@
 	return url
 }
 
+// errConnReplaced is the cause of the failure of a watch whose connection broke.
+var errConnReplaced = errors.New("the watch's connection broke")
+
+// trace returns a context with which a watch fails if its connection breaks. The HTTP client would send it again on
+// another one, perhaps to an agent that was restarted meanwhile and counts its own revisions.
+func (c *call) trace(ctx context.Context) context.Context {
+	if !c.isWatch {
+		return ctx
+	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	conns := 0
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) {
+		if conns++; conns > 1 {
+			cancel(errConnReplaced)
+		}
+	}})
+}
+
 // callResult is the response to a call, or its error.
 type callResult struct {
 	call *call
@@ -70,7 +90,7 @@
 	s.inFlight = append(s.inFlight, c)
 	s.running++
 	go func() {
-		list, err := get(ctx, s.client, c.url())
+		list, err := get(c.trace(ctx), s.client, c.url())
 		s.results <- callResult{c, list, err}
 	}()
 }
--- a/internal/discovery/watch/list.go
+++ b/internal/discovery/watch/list.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"slices"
 	"time"
 
 	"mintdoor/internal/discovery"
@@ -29,6 +30,7 @@
 	restartedAt    time.Time // start of the first call that agent answered with restarted revisions; zero: none
 	regressedSince time.Time // since when agent has reported older revisions; zero: it does not
 	needComplete   bool      // members lacks changes that could not be read
+	digest         uint64    // of the whole list that was last applied; 0: changes came after it
 	// regressionWindow is set from the constant of the same name; tests shorten it.
 	regressionWindow time.Duration
 }
@@ -49,58 +51,86 @@
 func (s *serverList) apply(r *callResult) (needComplete bool, err error) {
 	now := time.Now()
 	c, l := r.call, r.list
+	restarted, err := s.check(c, l, now)
+	if err != nil {
+		return true, err
+	}
+	if s.agent == "" {
+		s.useNewerCached(l.Revision)
+	}
 	sameAgent := c.agent.addr == s.agent
-	if s.agent != "" && c.agent.moves < s.move || sameAgent && c.startedAt.Before(s.restartedAt) {
-		return false, errUnordered
+	isKnown := sameAgent && s.repeats(l)
+	if !isKnown && s.applyMembers(l) && sameAgent {
+		restarted = true
+		s.regressedSince = now
 	}
-	restarted := sameAgent && l.Revision < s.revision
-	if restarted {
-		if c.startedAt.Before(s.appliedAt) {
-			return false, errOutdated
-		}
-		if s.regressedSince.IsZero() {
-			s.regressedSince = now
-		}
-		if !l.Complete || len(l.Members) == 0 && now.Sub(s.regressedSince) < s.regressionWindow {
-			return true, fmt.Errorf("discovery's revision %d is older than %d", l.Revision, s.revision)
-		}
-	}
-	if !sameAgent && !l.Complete {
-		return true, errors.New("discovery reports changes to a list that it has not reported")
-	}
-	if len(l.Members) > maxMembers {
-		return true, fmt.Errorf("discovery lists %d members", len(l.Members))
-	}
-	isKnown := sameAgent && !s.needComplete && s.isKnown(l)
 	if !sameAgent || restarted {
 		s.beginGeneration(c, l)
 	}
 	s.agent, s.move, s.revision, s.appliedAt, s.regressedSince = c.agent.addr, c.agent.moves, l.Revision, now, time.Time{}
 	wasSettled := s.generation.hasSettled()
 	s.generation.settle(r.asOf(now))
-	if !isKnown {
-		invalid := s.members.apply(l)
-		s.needComplete = !l.Complete && (invalid || s.needComplete)
-	}
 	if !wasSettled || !isKnown {
 		s.engines = s.generation.admit(s.members.list, l.Revision)
 	}
 	return s.needComplete, nil
 }
 
-// isKnown reports whether the agent's response has no changes. To decode thousands of members again would take long.
-func (s *serverList) isKnown(l *response) bool {
+// check returns an error if a response can't be applied, and reports whether its agent's revisions have restarted.
+func (s *serverList) check(c *call, l *response, now time.Time) (restarted bool, err error) {
+	sameAgent := c.agent.addr == s.agent
+	switch {
+	case s.agent != "" && c.agent.moves < s.move || sameAgent && c.startedAt.Before(s.restartedAt):
+		return false, errUnordered
+	case !sameAgent && !l.Complete:
+		return false, errors.New("discovery reports changes to a list that it has not reported")
+	case len(l.Members) > maxMembers:
+		return false, fmt.Errorf("discovery lists %d members", len(l.Members))
+	case !sameAgent || l.Revision > s.revision || l.Revision == s.revision && !s.losesAll(l):
+		return false, nil
+	case c.startedAt.Before(s.appliedAt):
+		return false, errOutdated
+	}
+	if s.regressedSince.IsZero() {
+		s.regressedSince = now
+	}
+	if !l.Complete || s.losesAll(l) && now.Sub(s.regressedSince) < s.regressionWindow {
+		return false, fmt.Errorf("discovery's revision %d is not later than %d", l.Revision, s.revision)
+	}
+	return true, nil
+}
+
+// losesAll reports whether a response removes all engines.
+func (s *serverList) losesAll(l *response) bool {
+	return l.Complete && len(l.Members) == 0 && len(s.members.list) > 0
+}
+
+// repeats reports whether the agent's response has nothing that is not known. To decode thousands of members again would
+// take long.
+func (s *serverList) repeats(l *response) bool {
+	if s.needComplete {
+		return false
+	}
 	if l.Complete {
-		return l.Revision == s.revision
+		return l.Revision == s.revision && l.digest() == s.digest
 	}
 	return len(l.Members) == 0
 }
 
+// applyMembers applies a response to members. It reports whether the response contradicts a list of the same revision.
+func (s *serverList) applyMembers(l *response) (contradicts bool) {
+	before, lacksChanges := s.members.list, s.needComplete
+	invalid := s.members.apply(l)
+	s.needComplete = !l.Complete && (invalid || lacksChanges)
+	s.digest = 0
+	if l.Complete {
+		s.digest = l.digest()
+	}
+	return l.Complete && l.Revision == s.revision && !lacksChanges && !slices.Equal(before, s.members.list)
+}
+
 // beginGeneration begins a generation of lists with the response of another agent, or of one whose revisions restarted.
 func (s *serverList) beginGeneration(c *call, l *response) {
-	if s.agent == "" {
-		s.useNewerCached(l.Revision)
-	}
 	settlesAt := s.settlesAt(c, l)
 	s.restartedAt = time.Time{}
 	if c.agent.addr == s.agent {
--- a/internal/discovery/watch/members.go
+++ b/internal/discovery/watch/members.go
@@ -14,6 +14,8 @@
 	"mintdoor/decide"
 	"mintdoor/internal/discovery"
 	"mintdoor/internal/settings"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Limits on a list.
@@ -57,6 +59,16 @@
 	Members  []json.RawMessage `json:"members"`
 }
 
+// digest returns a hash of the members.
+func (l *response) digest() uint64 {
+	h := xxhash.New()
+	for _, raw := range l.Members {
+		h.Write(raw)
+		h.Write([]byte{'\n'})
+	}
+	return h.Sum64()
+}
+
 // decodeList decodes a list in discovery's format.
 func decodeList(b []byte) (*response, error) {
 	l := &response{Revision: -1}
--- a/internal/discovery/watch/older_list_test.go
+++ b/internal/discovery/watch/older_list_test.go
@@ -60,6 +60,17 @@
 	e.await("the first list", readyLimit, func() bool { _, listed := e.state(1); return listed })
 }
 
+// awaitMembers waits until an agent has reported members.
+func (e *environment) awaitMembers(a *standin.Agent) {
+	e.t.Helper()
+	for end := time.Now().Add(reportLimit); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		if _, reported := a.Reported(); reported {
+			return
+		}
+	}
+	e.t.Fatalf("the agent has reported nothing for %v", reportLimit)
+}
+
 // hold checks for some time that the engine e0 is not reported as ready unless as described.
 func (e *environment) hold(length time.Duration, allowed string) {
 	e.t.Helper()
@@ -278,9 +289,7 @@
 					next.Put(watch.Member{ID: engineName(1), Zone: "a", Kind: "m", Phase: watch.Up, Size: 1})
 					put(c.after, next)
 					a = e.replaceAgent(a, next, "agent0:1", standin.Overload{Delay: delay})
-					for _, reported := a.Reported(); !reported; _, reported = a.Reported() {
-						time.Sleep(10 * time.Millisecond)
-					}
+					e.awaitMembers(a)
 					e.await0(c.want, c.limit)
 				})
 			})
@@ -365,3 +374,36 @@
 		}
 	})
 }
+
+// Guards against an agent whose revisions restart and have just reached the one that is known: its list counted as known
+// and was not looked at.
+func TestRestartedAgentWithKnownRevision(t *testing.T) {
+	for name, c := range map[string]struct {
+		before, after string // phases of e0
+		want          string
+		earliest      time.Duration // after the first response of the restarted agent
+		latest        time.Duration
+	}{
+		"drains":      {watch.Up, watch.Draining, "draining", 0, time.Second - time.Duration(decide.MaxPause)},
+		"is gone":     {watch.Up, watch.Removed, "gone", 0, time.Second - time.Duration(decide.MaxPause)},
+		"ready again": {watch.Draining, watch.Up, "ready", reportLimit - 10*time.Millisecond, 2 * reportLimit},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				e, next := newEnvironment(t), standin.NewDirectory()
+				a := e.startAgent("agent0:1", standin.Overload{})
+				put([]watch.Member{member0(c.before, 0)}, e.directory)
+				e.run("agent0:1", "")
+				e.awaitFirstList()
+				for next.Revision()+1 < e.directory.Revision() {
+					next.Put(watch.Member{ID: engineName(1), Zone: "a", Kind: "m", Phase: watch.Up, Size: 1})
+				}
+				put([]watch.Member{member0(c.after, 0)}, next)
+				a = e.replaceAgent(a, next, "agent0:1", standin.Overload{})
+				e.awaitMembers(a)
+				e.hold(c.earliest, "")
+				e.await0(c.want, c.latest)
+			})
+		})
+	}
+}
--- a/internal/discovery/watch/watch_test.go
+++ b/internal/discovery/watch/watch_test.go
@@ -154,6 +154,7 @@
 		"members are no list":       `{"revision":42,"complete":true,"members":{"s1":{}}}`,
 		"older":                     list(40, false),
 		"older and whole":           list(40, true),
+		"as old, without members":   list(41, true),
 		"status":                    "status 500",
 		"endless":                   list(42, true, member("s2", strings.Repeat("x", maxResponseSize), "up", 0)),
 		"more members than allowed": list(42, true, slices.Repeat([]string{"{}"}, maxMembers+1)...),
