--- a/internal/soak/faults_processes.go
+++ b/internal/soak/faults_processes.go
@@ -192,7 +192,8 @@
 		in.count("drains before an agent is behind", 1)
 		var drain sync.WaitGroup
 		defer drain.Wait()
-		drain.Go(func() { in.drainEngineFor(e, length+randomDuration(random, millis(1000), millis(3000))) })
+		drainLength := length + randomDuration(random, millis(1000), millis(3000))
+		drain.Go(func() { in.drainEngineFor(e, drainLength) })
 	}
 	time.Sleep(randomDuration(random, millis(50), millis(1500)))
 	in.log.Info("agent is behind", "router", r.Index, "revision", before, "for", length)
