--- a/internal/discovery/watch/calls.go
+++ b/internal/discovery/watch/calls.go
@@ -12,6 +12,13 @@
 	"time"
 )
 
+// agentAddr is the address of the agent.
+type agentAddr struct {
+	addr    string
+	moves   int       // how often addr has changed
+	movedAt time.Time // when addr last changed; zero: never
+}
+
 // call is one call to an agent.
 type call struct {
 	agent     agentAddr
--- a/internal/discovery/watch/older_list_test.go
+++ b/internal/discovery/watch/older_list_test.go
@@ -83,16 +83,47 @@
 	}
 }
 
+// olderList is a case in which a router hears an agent and then one that is behind it.
+type olderList struct {
+	older   []watch.Member // changes which both agents report
+	newer   []watch.Member // changes which at first only one of them reports
+	known   string         // what is known of e0 then
+	allowed string         // as what e0 may be reported ready
+}
+
+// check checks that older lists undo nothing, with agents that respond after several delays and are behind for up to a
+// limit. change replaces the agent by one that reports another directory.
+func (c olderList) check(t *testing.T, name string, limit time.Duration,
+	change func(*environment, *standin.Agent, *standin.Directory, standin.Overload)) {
+	for _, delay := range []time.Duration{0, 300 * time.Millisecond, 800 * time.Millisecond} {
+		for _, behind := range []time.Duration{time.Second, 3500 * time.Millisecond, limit - 20*time.Millisecond} {
+			t.Run(fmt.Sprintf("%s, %v, %v behind", name, delay, behind), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					e, late := newEnvironment(t), standin.NewDirectory()
+					a := e.startAgent("agent0:1", standin.Overload{})
+					put(c.older, e.directory, late)
+					e.run("agent0:1", "")
+					e.awaitFirstList()
+					put(c.newer, e.directory)
+					e.await0(c.known, reportLimit)
+					change(e, a, late, standin.Overload{Delay: delay})
+					e.hold(behind, c.allowed)
+					put(c.newer, late)
+					e.hold(2*reportLimit, c.allowed)
+					if e.describe() != c.known {
+						t.Errorf("in the end e0 is %s, want %s", e.describe(), c.known)
+					}
+				})
+			})
+		}
+	}
+}
+
 // Guards against a list of the agent after a move that is older than what the one before it has reported: engines
 // that had drained or were removed became ready again, and restarted ones counted as started long ago.
 func TestOlderListAfterMove(t *testing.T) {
 	first := []watch.Member{member0(watch.Up, firstStart)}
-	for name, c := range map[string]struct {
-		older   []watch.Member // which both agents report
-		newer   []watch.Member // which only the agent before the move reports at first
-		known   string
-		allowed string
-	}{
+	for name, c := range map[string]olderList{
 		"drain":                        {first, []watch.Member{member0(watch.Draining, firstStart)}, "draining", ""},
 		"removal":                      {first, []watch.Member{member0(watch.Removed, firstStart)}, "gone", ""},
 		"removal of a draining engine": {[]watch.Member{member0(watch.Draining, firstStart)}, []watch.Member{member0(watch.Removed, firstStart)}, "gone", ""},
@@ -105,29 +136,10 @@
 		"restart after a removal": {[]watch.Member{member0(watch.Up, firstStart), member0(watch.Removed, firstStart)},
 			[]watch.Member{member0(watch.Up, secondStart)}, "ready since 2000", "ready since 2000"},
 	} {
-		for _, delay := range []time.Duration{0, 300 * time.Millisecond, 800 * time.Millisecond} {
-			for _, behind := range []time.Duration{time.Second, 3500 * time.Millisecond, moveLimit - 20*time.Millisecond} {
-				t.Run(fmt.Sprintf("%s, %v, %v behind", name, delay, behind), func(t *testing.T) {
-					synctest.Test(t, func(t *testing.T) {
-						e, late := newEnvironment(t), standin.NewDirectory()
-						e.startAgent("agent0:1", standin.Overload{})
-						put(c.older, e.directory, late)
-						e.run("agent0:1", "")
-						e.awaitFirstList()
-						put(c.newer, e.directory)
-						e.await0(c.known, reportLimit)
-						e.startAgentOf(late, "agent1:1", standin.Overload{Delay: delay})
-						e.source.SetAddr("agent1:1")
-						e.hold(behind, c.allowed)
-						put(c.newer, late)
-						e.hold(2*reportLimit, c.allowed)
-						if e.describe() != c.known {
-							t.Errorf("in the end e0 is %s, want %s", e.describe(), c.known)
-						}
-					})
-				})
-			}
-		}
+		c.check(t, name, moveLimit, func(e *environment, _ *standin.Agent, late *standin.Directory, o standin.Overload) {
+			e.startAgentOf(late, "agent1:1", o)
+			e.source.SetAddr("agent1:1")
+		})
 	}
 }
 
@@ -227,36 +239,14 @@
 // removed became ready again after 2 s.
 func TestOlderListOfRestartedAgent(t *testing.T) {
 	first := []watch.Member{member0(watch.Up, firstStart)}
-	for name, c := range map[string]struct {
-		newer          []watch.Member // which the restarted agent does not report at first
-		known, allowed string
-	}{
-		"drain":   {[]watch.Member{member0(watch.Draining, firstStart)}, "draining", ""},
-		"removal": {[]watch.Member{member0(watch.Removed, firstStart)}, "gone", ""},
-		"restart": {[]watch.Member{member0(watch.Up, secondStart)}, "ready since 2000", "ready since 2000"},
+	for name, c := range map[string]olderList{
+		"drain":   {first, []watch.Member{member0(watch.Draining, firstStart)}, "draining", ""},
+		"removal": {first, []watch.Member{member0(watch.Removed, firstStart)}, "gone", ""},
+		"restart": {first, []watch.Member{member0(watch.Up, secondStart)}, "ready since 2000", "ready since 2000"},
 	} {
-		for _, delay := range []time.Duration{0, 300 * time.Millisecond, 800 * time.Millisecond} {
-			for _, behind := range []time.Duration{time.Second, 3500 * time.Millisecond, reportLimit - 20*time.Millisecond} {
-				t.Run(fmt.Sprintf("%s, %v, %v behind", name, delay, behind), func(t *testing.T) {
-					synctest.Test(t, func(t *testing.T) {
-						e, late := newEnvironment(t), standin.NewDirectory()
-						a := e.startAgent("agent0:1", standin.Overload{})
-						put(first, e.directory, late)
-						e.run("agent0:1", "")
-						e.awaitFirstList()
-						put(c.newer, e.directory)
-						e.await0(c.known, reportLimit)
-						e.replaceAgent(a, late, "agent0:1", standin.Overload{Delay: delay})
-						e.hold(behind, c.allowed)
-						put(c.newer, late)
-						e.hold(2*reportLimit, c.allowed)
-						if e.describe() != c.known {
-							t.Errorf("in the end e0 is %s, want %s", e.describe(), c.known)
-						}
-					})
-				})
-			}
-		}
+		c.check(t, name, reportLimit, func(e *environment, a *standin.Agent, late *standin.Directory, o standin.Overload) {
+			e.replaceAgent(a, late, "agent0:1", o)
+		})
 	}
 }
 
