Discovery: a late drain of an engine that is not listed just then is not forgotten

A drain in a response without a certain order was kept only if its engine was in the list at that moment. If the agent was behind and listed the engine later, it was ready. Found by reading; the drain is kept with what was known before now. TestLateDrainOfEngineThatIsNotListed failed before, passes now. The clock is read once for a response; two tests share their steps.

--- a/internal/discovery/watch/generation.go
+++ b/internal/discovery/watch/generation.go
@@ -65,13 +65,19 @@
 	return out
 }
 
-// remember makes the named engines of a list known as they are there.
-func (g *generation) remember(list []discovery.Engine, names map[string]bool) {
+// withdraw makes the named engines known as draining, those of a list and those that were listed before.
+func (g *generation) withdraw(list []discovery.Engine, names map[string]bool) {
 	for _, e := range list {
 		if names[e.Name] {
 			g.known[e.Name] = e
 		}
 	}
+	for name := range names {
+		if e, isKnown := g.known[name]; isKnown {
+			e.State = decide.Draining
+			g.known[name] = e
+		}
+	}
 }
 
 // isNew reports whether an engine that was not listed before has not been removed since. It has not if its process
--- a/internal/discovery/watch/list.go
+++ b/internal/discovery/watch/list.go
@@ -65,7 +65,7 @@
 		s.regressedSince = now
 	}
 	if !sameAgent || restarted {
-		s.beginGeneration(c, l)
+		s.beginGeneration(c, l, now)
 	}
 	s.agent, s.move, s.revision, s.appliedAt, s.regressedSince = c.agent.addr, c.agent.moves, l.Revision, now, time.Time{}
 	wasSettled := s.generation.hasSettled()
@@ -130,8 +130,8 @@
 }
 
 // beginGeneration begins a generation of lists with the response of another agent, or of one whose revisions restarted.
-func (s *serverList) beginGeneration(c *call, l *response) {
-	settlesAt := s.settlesAt(c, l)
+func (s *serverList) beginGeneration(c *call, l *response, now time.Time) {
+	settlesAt := s.settlesAt(c, l, now)
 	s.restartedAt = time.Time{}
 	if c.agent.addr == s.agent {
 		s.restartedAt = c.startedAt
@@ -143,7 +143,7 @@
 }
 
 // settlesAt returns when a generation settles that begins with a response.
-func (s *serverList) settlesAt(c *call, l *response) time.Time {
+func (s *serverList) settlesAt(c *call, l *response, now time.Time) time.Time {
 	var moveSettlesAt time.Time
 	if !c.agent.movedAt.IsZero() {
 		moveSettlesAt = c.agent.movedAt.Add(moveSettleTime)
@@ -152,7 +152,7 @@
 	case c.agent.addr == s.agent:
 		return latest(moveSettlesAt, s.regressedSince.Add(restartSettleTime))
 	case moveSettlesAt.IsZero() && l.Revision < s.revision: // the cached list is newer
-		return time.Now().Add(restartSettleTime)
+		return now.Add(restartSettleTime)
 	}
 	return moveSettlesAt
 }
@@ -171,17 +171,15 @@
 func (s *serverList) withdraw(l *response) bool {
 	names := withdrawnMembers(l)
 	marked, changed := markDraining(s.engines, names)
-	if !changed {
-		return false
-	}
 	s.engines = marked
-	if s.generation.hasSettled() {
+	switch {
+	case !s.generation.hasSettled():
+		s.generation.withdraw(marked, names)
+	case changed:
 		s.members.list, _ = markDraining(s.members.list, names)
 		s.needComplete = true
-		return true
 	}
-	s.generation.remember(marked, names)
-	return true
+	return changed
 }
 
 // useCached makes the cached list the server list, once, if no agent has responded. It returns false if there is none
--- a/internal/discovery/watch/watch_test.go
+++ b/internal/discovery/watch/watch_test.go
@@ -323,23 +323,34 @@
 	}
 }
 
-// Guards against a response from before an agent's revisions restarted, which arrives after that: it counted as the
-// newest list, by its higher revision. Its drains count, as it may be newer nevertheless.
-func TestLateResponseFromBeforeRestart(t *testing.T) {
+// lateResponse is the response to a call that was started at an instant, relative to the others.
+type lateResponse struct {
+	startedAfter time.Duration
+	text         string
+}
+
+// sourceAfter returns a source that has handled responses to calls that were cancelled.
+func sourceAfter(t *testing.T, responses ...lateResponse) *Source {
 	s := New("a:1", []string{"m2"}, nil, discardLogger())
 	s.notify = func(discovery.Update) {}
 	start := time.Now()
-	respond := func(startedAfter time.Duration, text string) {
-		t.Helper()
-		l, err := decodeList([]byte(text))
+	for _, r := range responses {
+		l, err := decodeList([]byte(r.text))
 		if err != nil {
 			t.Fatal(err)
 		}
-		s.handleLateResponse(&callResult{call: &call{agent: s.currentAgent(), startedAt: start.Add(startedAfter)}, list: l})
+		s.handleLateResponse(&callResult{call: &call{agent: s.currentAgent(), startedAt: start.Add(r.startedAfter)}, list: l})
 	}
-	respond(0, list(41, true, member("s1", "h:1", "up", 0), member("s2", "h:2", "up", 0)))
-	respond(2*time.Hour, list(7, true, member("s1", "h:1", "draining", 0), member("s2", "h:2", "up", 0)))
-	respond(time.Hour, list(42, true, member("s1", "h:1", "up", 0), member("s2", "h:2", "draining", 0)))
+	return s
+}
+
+// Guards against a response from before an agent's revisions restarted, which arrives after that: it counted as the
+// newest list, by its higher revision. Its drains count, as it may be newer nevertheless.
+func TestLateResponseFromBeforeRestart(t *testing.T) {
+	s := sourceAfter(t,
+		lateResponse{0, list(41, true, member("s1", "h:1", "up", 0), member("s2", "h:2", "up", 0))},
+		lateResponse{2 * time.Hour, list(7, true, member("s1", "h:1", "draining", 0), member("s2", "h:2", "up", 0))},
+		lateResponse{time.Hour, list(42, true, member("s1", "h:1", "up", 0), member("s2", "h:2", "draining", 0))})
 	for _, e := range s.list.engines {
 		if e.State != decide.Draining {
 			t.Errorf("%s is ready", e.Name)
@@ -350,6 +361,19 @@
 	}
 }
 
+// Guards against a drain in a response from before a restart being forgotten if the restarted agent lists its engine
+// only later.
+func TestLateDrainOfEngineThatIsNotListed(t *testing.T) {
+	s := sourceAfter(t,
+		lateResponse{0, list(41, true, member("s1", "h:1", "up", 0), member("s2", "h:2", "up", 0))},
+		lateResponse{2 * time.Hour, list(7, true, member("s2", "h:2", "up", 0))},
+		lateResponse{time.Hour, list(42, false, member("s1", "h:1", "draining", 0))},
+		lateResponse{3 * time.Hour, list(8, true, member("s1", "h:1", "up", 0), member("s2", "h:2", "up", 0))})
+	if e := s.list.engines[0]; e.Name != "s1" || e.State != decide.Draining {
+		t.Errorf("%s is in the state %v", e.Name, e.State)
+	}
+}
+
 // After a change to the address of an agent with lower revisions, that agent's list is used at once, also if the
 // change is made between two calls. An engine that it lists and that was not listed before has just started: otherwise
 // it may have been removed (see TestNewerListAfterMove).
