--- a/internal/discovery/watch/list.go
+++ b/internal/discovery/watch/list.go
@@ -112,7 +112,7 @@
 		return false
 	}
 	if l.Complete {
-		return l.Revision == s.revision && l.digest() == s.digest
+		return l.Revision == s.revision && l.digest == s.digest
 	}
 	return len(l.Members) == 0
 }
@@ -124,7 +124,7 @@
 	s.needComplete = !l.Complete && (invalid || lacksChanges)
 	s.digest = 0
 	if l.Complete {
-		s.digest = l.digest()
+		s.digest = l.digest
 	}
 	return l.Complete && l.Revision == s.revision && !lacksChanges && !slices.Equal(before, s.members.list)
 }
--- a/internal/discovery/watch/members.go
+++ b/internal/discovery/watch/members.go
@@ -57,16 +57,7 @@
 	Revision int64             `json:"revision"`
 	Complete bool              `json:"complete"`
 	Members  []json.RawMessage `json:"members"`
-}
-
-// digest returns a hash of the members.
-func (l *response) digest() uint64 {
-	h := xxhash.New()
-	for _, raw := range l.Members {
-		h.Write(raw)
-		h.Write([]byte{'\n'})
-	}
-	return h.Sum64()
+	digest   uint64            // hash of the members
 }
 
 // decodeList decodes a list in discovery's format.
@@ -78,6 +69,12 @@
 	if l.Revision < 0 {
 		return nil, errors.New("discovery's list has no revision")
 	}
+	hash := xxhash.New()
+	for _, member := range l.Members {
+		hash.Write(member)
+		hash.Write([]byte{'\n'})
+	}
+	l.digest = hash.Sum64()
 	return l, nil
 }
 
