Log: how the stream of an attempt ended, and why a connection to an engine is closed

The line of a served request did not say what its stream's end was taken from, and connections to engines were closed without a word. An attempt's end in the trail now names the last event, the lines of the trailer and the bytes behind the stream; each close of a connection to an engine has its reason. No decision is changed. Tests of engine, http1 and router passed with the race detector.

--- a/internal/engine/chat/chat.go
+++ b/internal/engine/chat/chat.go
@@ -96,7 +96,7 @@
 		opts.Log = slog.New(slog.DiscardHandler)
 	}
 	return &Client{opts: opts, readEndDelay: readEndDelay, connReuseDelay: connReuseDelay, releaseCallTimeout: releaseCallTimeout,
-		closeDelay: closeDelay, lastResponse: map[string]time.Time{}, listed: map[string]struct{}{}, pool: &pool{dialTimeout: opts.DialTimeout,
+		closeDelay: closeDelay, lastResponse: map[string]time.Time{}, listed: map[string]struct{}{}, pool: &pool{log: opts.Log, dialTimeout: opts.DialTimeout,
 			idleTimeout: opts.IdleConnTimeout, lastByteDelay: lastByteDelay, maxConns: opts.MaxConns, releaseConns: opts.ReleaseConns}}
 }
 
@@ -216,7 +216,7 @@
 		case errors.Is(err, io.EOF):
 			x.complete = true
 			x.conn.SetReadDeadline(time.Time{})
-			return engine.Result{Outcome: decide.Served, Report: e.report, Tokens: tokens}
+			return engine.Result{Outcome: decide.Served, Report: e.report, Tokens: tokens, Detail: e.describeEnd()}
 		case err != nil:
 			r := x.failureResult(err)
 			r.Tokens, r.Report = tokens, e.report
--- a/internal/engine/chat/events.go
+++ b/internal/engine/chat/events.go
@@ -20,6 +20,16 @@
 	chunks *http1.ChunkedReader
 	buf    []byte // received bytes that do not form a whole event yet
 	report decide.Report
+
+	lastData string // the data of the last event, or its beginning
+}
+
+// maxLoggedData is how many bytes of an event's data a log line has.
+const maxLoggedData = 24
+
+// describeEnd describes for the log what the stream's end consisted of, and what has come behind it.
+func (e *eventStream) describeEnd() string {
+	return fmt.Sprintf("last event %q, %d trailer lines, %d bytes behind", e.lastData, e.chunks.TrailerLines(), e.x.conn.br.Buffered())
 }
 
 // blankLine ends an event.
@@ -92,6 +102,7 @@
 				return false, fmt.Errorf("%w: event %.60q", http1.ErrMalformed, line)
 			}
 			hasData = true
+			e.lastData = string(v[:min(len(v), maxLoggedData)])
 		default:
 			return false, fmt.Errorf("%w: event %.60q", http1.ErrMalformed, line)
 		}
--- a/internal/engine/chat/exchange.go
+++ b/internal/engine/chat/exchange.go
@@ -75,7 +75,7 @@
 				x.distrustConn()
 			}
 			x.stopWatch()
-			x.conn.Close()
+			x.conn.closeFor(closedBeforeRequest)
 			x.conn = nil
 		}
 	}
@@ -134,7 +134,7 @@
 	if q.gate != nil {
 		q.gate.Connected(conn.uses)
 	}
-	x.stopWatch = context.AfterFunc(x.ctx, func() { conn.Close() }) // this is how an attempt is cancelled
+	x.stopWatch = context.AfterFunc(x.ctx, func() { conn.closeFor(closedGivenUp) }) // this is how an attempt is cancelled
 	head := make([]byte, 0, 256)
 	head = append(head, q.method+" "+q.target+" HTTP/1.1\r\nHost: "+addr+"\r\n"...)
 	if q.requestID != "" {
@@ -201,7 +201,7 @@
 		x.client.pool.put(x.conn)
 		return
 	}
-	x.conn.Close()
+	x.conn.closeFor(closedNotReusable)
 }
 
 // body reads the body of a response that is not a stream.
@@ -240,7 +240,7 @@
 // engine should have seen the close. Until then the attempt is still in flight: a refusal sent to the client, or
 // another attempt, would overtake its end.
 func (x *exchange) abandon() {
-	x.conn.Close()
+	x.conn.closeFor(closedGivenUp)
 	time.Sleep(x.client.closeDelay)
 }
 
--- a/internal/engine/chat/pool.go
+++ b/internal/engine/chat/pool.go
@@ -5,6 +5,7 @@
 	"container/list"
 	"context"
 	"errors"
+	"log/slog"
 	"net"
 	"sync"
 	"syscall"
@@ -26,10 +27,30 @@
 	closeAfterUse bool // guarded by pool.mu: its engine left or restarted while the connection was in use
 }
 
+// closeReason says why a connection to an engine is closed.
+type closeReason string
+
+// The reasons for closing a connection.
+const (
+	closedUnspecified   closeReason = "not told"
+	closedGivenUp       closeReason = "its call was given up"
+	closedBeforeRequest closeReason = "it broke before it delivered a request"
+	closedNotReusable   closeReason = "its response was not complete, or is its last one"
+	closedTooIdle       closeReason = "it was idle for too long"
+	closedUnexpected    closeReason = "data, or its end, came while it was idle"
+	closedForRoom       closeReason = "room was needed"
+	closedDistrusted    closeReason = "its engine has left or restarted, or is distrusted"
+	closedAtEnd         closeReason = "all idle connections are closed"
+)
+
 // Close closes the connection and stops counting it against the pool's limit. It may be called more than once.
-func (c *conn) Close() error {
+func (c *conn) Close() error { return c.closeFor(closedUnspecified) }
+
+// closeFor does what Close does, and logs the reason.
+func (c *conn) closeFor(reason closeReason) error {
 	var err error
 	c.closeOnce.Do(func() {
+		c.pool.log.Info("engine connection closed", "engine", c.addr, "reason", string(reason), "uses", c.uses)
 		err = c.Conn.Close()
 		c.pool.mu.Lock()
 		c.pool.total--
@@ -43,6 +64,7 @@
 // request time, so the most recently used one is taken first. When the limit is reached, the idle connection that has
 // been unused for longest is closed.
 type pool struct {
+	log           *slog.Logger
 	dialTimeout   time.Duration
 	idleTimeout   time.Duration // well below the engines' own idle timeout
 	maxConns      int           // open at the same time
@@ -73,11 +95,15 @@
 		if c == nil {
 			break
 		}
-		if time.Since(c.lastUsed) < p.idleTimeout && c.usable() {
-			c.uses++
-			return c, nil
+		reason := closedTooIdle
+		if time.Since(c.lastUsed) < p.idleTimeout {
+			if c.usable() {
+				c.uses++
+				return c, nil
+			}
+			reason = closedUnexpected
 		}
-		c.Close()
+		c.closeFor(reason)
 	}
 	limit := p.maxConns
 	if need.isRelease {
@@ -127,7 +153,7 @@
 	p.removeIdle(c)
 	p.total++
 	p.mu.Unlock()
-	c.Close() // also decrements total
+	c.closeFor(closedForRoom) // also decrements total
 	return true
 }
 
@@ -163,7 +189,7 @@
 	p.mu.Lock()
 	if c.closeAfterUse || c.lastUsed.Before(p.distrustedUntil[c.addr]) {
 		p.mu.Unlock()
-		c.Close()
+		c.closeFor(closedDistrusted)
 		return
 	}
 	delete(p.inUse, c)
@@ -191,13 +217,17 @@
 		c.closeAfterUse = c.closeAfterUse || addr == "" || c.addr == addr
 	}
 	p.mu.Unlock()
-	p.closeIdleIf(func(c *conn) bool { return addr == "" || c.addr == addr })
+	reason := closedDistrusted
+	if addr == "" {
+		reason = closedAtEnd
+	}
+	p.closeIdleIf(reason, func(c *conn) bool { return addr == "" || c.addr == addr })
 }
 
 // closeExpired closes idle connections that their engines may close soon and drops outdated entries of
 // distrustedUntil.
 func (p *pool) closeExpired() {
-	p.closeIdleIf(func(c *conn) bool { return time.Since(c.lastUsed) >= p.idleTimeout })
+	p.closeIdleIf(closedTooIdle, func(c *conn) bool { return time.Since(c.lastUsed) >= p.idleTimeout })
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for addr, until := range p.distrustedUntil {
@@ -208,7 +238,7 @@
 }
 
 // closeIdleIf closes the idle connections for which match returns true.
-func (p *pool) closeIdleIf(match func(*conn) bool) {
+func (p *pool) closeIdleIf(reason closeReason, match func(*conn) bool) {
 	var closing []*conn
 	p.mu.Lock()
 	for e := p.idle.Front(); e != nil; {
@@ -221,7 +251,7 @@
 	}
 	p.mu.Unlock()
 	for _, c := range closing {
-		c.Close()
+		c.closeFor(reason)
 	}
 }
 
--- a/internal/engine/wire.go
+++ b/internal/engine/wire.go
@@ -269,6 +269,7 @@
 	FinishReason string // why the answer ended, as reported by the engine
 	Tokens       int    // tokens of the answer passed to sink
 	Err          error  // what went wrong, for the log; nil if the attempt succeeded
+	Detail       string // how the response ended, for the log
 }
 
 // ErrTimedOut and ErrCancelled are the causes with which the caller cancels an attempt's context. They determine the
--- a/internal/http1/http1.go
+++ b/internal/http1/http1.go
@@ -257,6 +257,8 @@
 	remaining int64 // unread bytes of the current chunk
 	inChunk   bool  // a chunk is being read
 	done      bool  // the last chunk and the trailer were read
+
+	trailerLines int
 }
 
 // NewChunkedReader returns a reader of the chunked body in br. A chunk of more than max bytes is an error.
@@ -264,6 +266,9 @@
 	return &ChunkedReader{br: br, max: max}
 }
 
+// TrailerLines returns how many lines of the trailer were read.
+func (c *ChunkedReader) TrailerLines() int { return c.trailerLines }
+
 // Read implements io.Reader. One call never returns data of two chunks. Read returns io.EOF only after the last chunk
 // and the trailer.
 func (c *ChunkedReader) Read(p []byte) (int, error) {
@@ -331,6 +336,7 @@
 			c.done = true
 			return nil
 		}
+		c.trailerLines++
 	}
 	return fmt.Errorf("%w: trailer", ErrTooLarge)
 }
--- a/internal/router/loop.go
+++ b/internal/router/loop.go
@@ -261,7 +261,11 @@
 // recordEnd records in the request's row that an attempt has ended.
 func (r *Router) recordEnd(a *attempt, res *engine.Result) {
 	a.ended = true
-	a.guard.End(outcomeName(res.Outcome), res.Err)
+	ended := outcomeName(res.Outcome)
+	if res.Detail != "" {
+		ended += ", " + res.Detail
+	}
+	a.guard.End(ended, res.Err)
 	a.row.endAttempt(a, res)
 	if a.prefill && !outcomeCertain(res.Outcome) {
 		r.holds.readUnknown(a.row, a.addr, res.Outcome)
