Test: streams that are not whole are ended as if they were, on real processes (failing)

The stand-in engines can spoil a stream in 26 ways, after the first event and in place of [DONE], and write sound ones in 12 forms of HTTP/1.1 and server-sent events.

--- a/internal/soak/faults_engines.go
+++ b/internal/soak/faults_engines.go
@@ -53,6 +53,9 @@
 		out.InterimResponse = max(out.InterimResponse, b.InterimResponse)
 		out.CloseAfterAnswer = max(out.CloseAfterAnswer, b.CloseAfterAnswer)
 		out.Slowdown = max(out.Slowdown, b.Slowdown)
+		out.StreamFault = max(out.StreamFault, b.StreamFault)
+		out.StreamFaultAt = max(out.StreamFaultAt, b.StreamFaultAt)
+		out.StreamForm = max(out.StreamForm, b.StreamForm)
 	}
 	return out
 }
--- a/internal/standin/chat/attempt.go
+++ b/internal/standin/chat/attempt.go
@@ -15,6 +15,8 @@
 	refuse, fail, resetAtStart, resetInStream, malformedAnswer, malformedStream bool
 	endlessHeader, duplicateAnswer, interimResponse, closeAfterAnswer           bool
 	faultEvent                                                                  int // a stream fault comes before this event
+	streamFault                                                                 *StreamFault
+	streamForm                                                                  *StreamForm
 	slowdown                                                                    float64
 }
 
@@ -40,11 +42,36 @@
 	if e.opts.Writer {
 		p.resetInStream = e.drawFault("resets in a stream", b.ResetInStream)
 		p.malformedStream = e.drawFault("spoilt streams", b.MalformedStream)
-		p.faultEvent = 1 + e.random.IntN(max(e.opts.Timing.EventsPerStream, 1))
+		p.faultEvent = e.random.IntN(e.opts.Timing.EventsPerStream + 1)
+		if b.StreamFaultAt > 0 {
+			p.faultEvent = b.StreamFaultAt - 1
+		}
+		p.streamFault, p.streamForm = e.drawStreamFault(), e.drawStreamForm()
 	}
 	return p
 }
 
+// drawStreamFault draws how a malformed stream is spoilt. mu is held.
+func (e *Engine) drawStreamFault() *StreamFault {
+	random := e.random.IntN(len(StreamFaults))
+	if n := e.behaviour.StreamFault; n > 0 {
+		return &StreamFaults[n-1]
+	}
+	return &StreamFaults[random]
+}
+
+// drawStreamForm draws the form of a stream. mu is held.
+func (e *Engine) drawStreamForm() *StreamForm {
+	vary, random := e.random.Float64() < e.opts.VaryStreams, e.random.IntN(len(StreamForms))
+	switch n := e.behaviour.StreamForm; {
+	case n > 0:
+		return &StreamForms[n-1]
+	case vary:
+		return &StreamForms[random]
+	}
+	return &StreamForms[0]
+}
+
 // addInFlight changes the number of requests in progress.
 func (e *Engine) addInFlight(n int) {
 	e.mu.Lock()
@@ -88,6 +115,9 @@
 		resetConn(c.Conn)
 		return false
 	case Malformed: // open but unusable; the router has to close it
+		if p.malformedStream && p.streamFault.closes {
+			return false
+		}
 		c.br.Peek(1)
 		return false
 	case Cancelled, EngineDied:
@@ -184,42 +214,34 @@
 		return Cancelled
 	}
 	c.engine.opts.Cluster.releaseHolds(a.Request) // the stream has taken the KV state over
-	_, err := io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Type: "+platform.EventStreamType+"\r\nTransfer-Encoding: chunked\r\n\r\n")
+	form := p.streamForm
+	_, err := io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Type: "+platform.EventStreamType+"\r\n"+form.fields+"Transfer-Encoding: chunked\r\n\r\n")
 	if err != nil {
 		return Cancelled
 	}
-	for n := range timing.EventsPerStream {
-		if n > 0 && !c.workFor(ctx, p.scale(timing.EventInterval)) {
+	events := form.Events(a.Request, c.engine.opts.ID, timing.EventsPerStream)
+	for n, event := range events {
+		if n > 0 && n < timing.EventsPerStream && !c.workFor(ctx, p.scale(timing.EventInterval)) {
 			return Cancelled
 		}
 		if n == p.faultEvent && p.resetInStream {
 			return ConnReset
 		}
 		if n == p.faultEvent && p.malformedStream {
-			io.WriteString(c, "zz\r\n")
+			p.streamFault.write(c, events[n:])
 			return Malformed
 		}
-		if !c.writeEvent(a, EventText(a.Request, c.engine.opts.ID, n)) {
+		c.engine.opts.Cluster.addEvent(a)
+		if _, err := io.WriteString(c, form.wireText(event)); err != nil {
 			return Cancelled
 		}
 	}
-	if !c.writeEvent(a, LastEvent) {
-		return Cancelled
-	}
-	if _, err := io.WriteString(c, "0\r\n\r\n"); err != nil {
+	if _, err := io.WriteString(c, form.endText()); err != nil {
 		return Cancelled
 	}
 	return Streamed
 }
 
-// writeEvent writes one event as a chunk.
-func (c *engineConn) writeEvent(a *Attempt, text string) bool {
-	c.engine.opts.Cluster.addEvent(a)
-	data := "data: " + text + "\n\n"
-	_, err := fmt.Fprintf(c, "%x\r\n%s\r\n", len(data), data)
-	return err == nil
-}
-
 // LastEvent is the data of the last event of a stream.
 const LastEvent = "[DONE]"
 
--- a/internal/standin/chat/engine.go
+++ b/internal/standin/chat/engine.go
@@ -28,13 +28,17 @@
 	ResetAtStart     float64 // the connection is reset when the request has arrived
 	ResetInStream    float64 // the connection is reset between two events
 	MalformedAnswer  float64 // bytes that are not HTTP, in place of an answer
-	MalformedStream  float64 // a chunk with a malformed size
+	MalformedStream  float64 // one of StreamFaults
 	EndlessHeader    float64 // a response header that does not end
 	DuplicateAnswer  float64 // a second answer some milliseconds after the first
 	DuplicateReply   float64 // the same for releases and load reports, also while the next request is processed
 	InterimResponse  float64 // a 1xx response before the answer
 	CloseAfterAnswer float64 // the connection is closed after an answer that does not announce it
 	Slowdown         float64 // factor on the usual durations; 0 means 1
+	// StreamFault is the index in StreamFaults of the fault of each malformed stream, plus 1; 0: any. StreamFaultAt is the
+	// number of events before it, plus 1; 0: any.
+	StreamFault, StreamFaultAt int
+	StreamForm                 int // index in StreamForms of each stream, plus 1; 0: the first, or a random one
 }
 
 // Timing is how long an engine takes.
@@ -53,6 +57,7 @@
 	Timing      Timing
 	MaxInFlight int // requests in progress at once; more are refused
 	Seed        uint64
+	VaryStreams float64         // probability that a stream has a random one of StreamForms
 	Listener    *EngineListener // accepts the engine's connections
 }
 
