http1: a chunk of wrong size is no longer taken for the last chunk

Callers saw streams end with the last chunk although their engine had not written them whole. One cause: a chunk whose size reads as 0 was taken for the last chunk, and whatever lines followed, up to an empty one, for its trailer; nothing behind the digits of a size was looked at, and a single line feed passed for each line end. The reader of chunks now takes what the grammar of RFC 9112 allows and nothing else: sizes with extensions, CRLF, trailers of fields. It stands in a file of its own. The data of a chunk no longer waits for the line end behind it, which a sound sender may write much later.

--- a/internal/http1/http1.go
+++ b/internal/http1/http1.go
@@ -130,14 +130,13 @@
 
 // IsToken reports whether s is a token as defined in RFC 9110, section 5.6.2.
 func IsToken(s string) bool {
-	for i := 0; i < len(s); i++ {
-		c := s[i]
-		if !('a' <= c && c <= 'z' || 'A' <= c && c <= 'Z' || '0' <= c && c <= '9' ||
-			strings.IndexByte("!#$%&'*+-.^_`|~", c) >= 0) {
-			return false
-		}
-	}
-	return s != ""
+	rest, ok := cutToken(s)
+	return ok && rest == ""
+}
+
+// isTokenChar reports whether c may stand in a token.
+func isTokenChar(c byte) bool {
+	return 'a' <= c && c <= 'z' || 'A' <= c && c <= 'Z' || '0' <= c && c <= '9' || strings.IndexByte("!#$%&'*+-.^_`|~", c) >= 0
 }
 
 // RequestLine returns the parts of a request's start line. http10 is true for HTTP/1.0.
@@ -249,94 +248,3 @@
 	}
 	return length, false, nil
 }
-
-// ChunkedReader reads a body in chunked transfer coding.
-type ChunkedReader struct {
-	br        *bufio.Reader
-	max       int64 // maximum size of a chunk in bytes
-	remaining int64 // unread bytes of the current chunk
-	inChunk   bool  // a chunk is being read
-	done      bool  // the last chunk and the trailer were read
-
-	trailerLines int
-}
-
-// NewChunkedReader returns a reader of the chunked body in br. A chunk of more than max bytes is an error.
-func NewChunkedReader(br *bufio.Reader, max int64) *ChunkedReader {
-	return &ChunkedReader{br: br, max: max}
-}
-
-// TrailerLines returns how many lines of the trailer were read.
-func (c *ChunkedReader) TrailerLines() int { return c.trailerLines }
-
-// Read implements io.Reader. One call never returns data of two chunks. Read returns io.EOF only after the last chunk
-// and the trailer.
-func (c *ChunkedReader) Read(p []byte) (int, error) {
-	if c.done {
-		return 0, io.EOF
-	}
-	if !c.inChunk {
-		if err := c.nextChunk(); err != nil {
-			return 0, unexpectedEOF(err)
-		}
-		if c.done {
-			return 0, io.EOF
-		}
-	}
-	if int64(len(p)) > c.remaining {
-		p = p[:c.remaining]
-	}
-	n, err := c.br.Read(p)
-	if c.remaining -= int64(n); c.remaining == 0 && n > 0 {
-		c.inChunk = false
-		if end, e := readLine(c.br); e != nil {
-			return n, unexpectedEOF(e)
-		} else if len(end) != 0 {
-			return n, malformed("a chunk is longer than it says")
-		}
-		return n, nil
-	}
-	return n, unexpectedEOF(err)
-}
-
-// unexpectedEOF replaces io.EOF by io.ErrUnexpectedEOF, because a chunked body that ends before its last chunk is
-// incomplete.
-func unexpectedEOF(err error) error {
-	if errors.Is(err, io.EOF) {
-		return io.ErrUnexpectedEOF
-	}
-	return err
-}
-
-// nextChunk reads the size line of the next chunk, and the trailer after the last chunk.
-func (c *ChunkedReader) nextChunk() error {
-	b, err := readLine(c.br)
-	if err != nil {
-		return err
-	}
-	size, _, _ := strings.Cut(string(b), ";")
-	size = strings.Trim(size, " \t")
-	if size == "" || strings.Trim(size, "0123456789abcdefABCDEF") != "" {
-		return malformed("chunk size %.20q", b)
-	}
-	n, err := strconv.ParseInt(size, 16, 64)
-	if err != nil || n > c.max {
-		return fmt.Errorf("%w: chunk of %.20s bytes", ErrTooLarge, size)
-	}
-	if n > 0 {
-		c.remaining, c.inChunk = n, true
-		return nil
-	}
-	for range maxFields { // the trailer
-		b, err := readLine(c.br)
-		if err != nil {
-			return err
-		}
-		if len(b) == 0 {
-			c.done = true
-			return nil
-		}
-		c.trailerLines++
-	}
-	return fmt.Errorf("%w: trailer", ErrTooLarge)
-}
--- a/internal/http1/http1_test.go
+++ b/internal/http1/http1_test.go
@@ -113,6 +113,23 @@
 		{"size is huge", "C0000000\r\nabc", "", ErrTooLarge},
 		{"size exceeds 64 bits", "fffffffffffffffffff\r\nabc", "", ErrTooLarge},
 		{"longer than its size", "2\r\nabc\r\n0\r\n\r\n", "ab", ErrMalformed},
+		{"shorter than its size", "4\r\nabc\r\n0\r\n\r\n", "abc\r", ErrMalformed},
+		{"size 0 before data with a colon", "0\r\ndata: abc\n\n\r\n0\r\n\r\n", "", ErrMalformed},
+		{"trailer is no field", "0\r\nabc\r\n\r\n", "", ErrMalformed},
+		{"trailer with a control character", "0\r\na: \x01\r\n\r\n", "", ErrMalformed},
+		{"line feeds behind the size", "3\nabc\r\n0\r\n\r\n", "", ErrMalformed},
+		{"line feeds behind the data", "3\r\nabc\n0\r\n\r\n", "abc", ErrMalformed},
+		{"line feeds at the end", "0\r\n\n", "", ErrMalformed},
+		{"space before the size", " 3\r\nabc\r\n0\r\n\r\n", "", ErrMalformed},
+		{"extension without a name", "3;\r\nabc\r\n0\r\n\r\n", "", ErrMalformed},
+		{"extension without a value", "3;a=\r\nabc\r\n0\r\n\r\n", "", ErrMalformed},
+		{"extension of noise", "3;\x00\x01\r\nabc\r\n0\r\n\r\n", "", ErrMalformed},
+		{"quoted extension without an end", "3;a=\"b\r\nabc\r\n0\r\n\r\n", "", ErrMalformed},
+		{"words behind the size", "3 abc\r\nabc\r\n0\r\n\r\n", "", ErrMalformed},
+		{"extensions", "3 ; a = b;c\r\nabc\r\n0;d=\"e;\\\"f\"\r\n\r\n", "abc", nil},
+		{"spaces behind the size", "3 \t\r\nabc\r\n00\r\n\r\n", "abc", nil},
+		{"trailer fields", "3\r\nabc\r\n0\r\nA:\r\nB: 1 2\r\n\r\n", "abc", nil},
+		{"size in many digits", "0000000000000000000003\r\nabc\r\n0\r\n\r\n", "abc", nil},
 		{"endless trailer", "0\r\n" + strings.Repeat("a: b\r\n", maxFields+1), "", ErrTooLarge},
 	} {
 		t.Run(c.name, func(t *testing.T) {
@@ -123,3 +140,19 @@
 		})
 	}
 }
+
+// Data is passed on before the line end behind its chunk has arrived.
+func TestChunkDataDoesNotWaitForLineEnd(t *testing.T) {
+	in, out := io.Pipe()
+	defer out.Close()
+	go io.WriteString(out, "3\r\nabc")
+	c := NewChunkedReader(bufio.NewReader(in), 100)
+	b := make([]byte, 10)
+	if n, err := c.Read(b); n != 3 || err != nil {
+		t.Fatalf("%d bytes, %v", n, err)
+	}
+	go io.WriteString(out, "\r\n0\r\n\r\n")
+	if n, err := c.Read(b); n != 0 || err != io.EOF {
+		t.Errorf("%d bytes, %v", n, err)
+	}
+}
