Engine client: a stream is whole only with [DONE], its blank line and the last chunk

Callers got the last chunk of streams that broke off: any last chunk was taken for the end of the stream, whatever the events before it were; an event that lacked its blank line there was dropped, and events behind [DONE] were passed on. The protocol names the last event, so the reader of events waits for it: without [DONE] a last chunk ends nothing, [DONE] has to end with its blank line, and only comments may follow. Lines may end with CRLF, data may have several lines, and fields beside the data pass, as a sound engine may write them; such streams were refused before.

Three tests had streams without [DONE] as whole ones, which the protocol doesn't have: 'followed by a second response', and both sides of TestSecondAnswerAfterOtherCalls. They have it now; the foreign stream there has an event of its own, so that it is told from the attempt's.

--- a/internal/engine/chat/chat.go
+++ b/internal/engine/chat/chat.go
@@ -10,7 +10,6 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -211,9 +210,7 @@
 	for {
 		event, err := e.next()
 		switch {
-		case errors.Is(err, io.EOF) && tokens == 0:
-			return x.failureResult(fmt.Errorf("%w: the stream has no event", http1.ErrMalformed))
-		case errors.Is(err, io.EOF):
+		case err == io.EOF:
 			x.complete = true
 			x.conn.SetReadDeadline(time.Time{})
 			return engine.Result{Outcome: decide.Served, Report: e.report, Tokens: tokens, Detail: e.describeEnd()}
--- a/internal/engine/chat/chat_test.go
+++ b/internal/engine/chat/chat_test.go
@@ -143,6 +143,7 @@
 const (
 	streamHead = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
 	eventA     = `data: {"choices":[{"index":0,"delta":{"content":"oqvh"},"finish_reason":null}]}` + "\n\n"
+	eventB     = `data: {"choices":[{"index":0,"delta":{"content":"zzzz"},"finish_reason":null}]}` + "\n\n"
 	eventEnd   = "data: [DONE]\n\n"
 	lastChunk  = "0\r\n\r\n"
 )
@@ -199,7 +200,17 @@
 		{"served, events over chunks", streamHead + chunk(eventA[:9]) + chunk(eventA[9:]+eventEnd) + lastChunk, decide.Served, 2},
 		{"served, with a report", streamHead + chunk(eventA+eventEnd) + chunk(loadCommentPrefix+` {"x0":0.25}`+"\n\n") + lastChunk, decide.Served, 2},
 		{"served, report unreadable", streamHead + chunk(eventA+eventEnd) + chunk(loadCommentPrefix+" {x") + lastChunk, decide.Served, 2},
-		{"served, followed by a second response", streamHead + chunk(eventA) + lastChunk + response("200 OK", "x"), decide.Served, 1},
+		{"served, followed by a second response", streamHead + chunk(eventA+eventEnd) + lastChunk + response("200 OK", "x"), decide.Served, 2},
+		{"served, comments behind [DONE]", streamHead + chunk(eventA+eventEnd+": x\n\n: y\n") + lastChunk, decide.Served, 2},
+		{"last chunk without [DONE]", streamHead + chunk(eventA) + lastChunk, decide.Reset, 1},
+		{"[DONE] without its blank line", streamHead + chunk(eventA+eventEnd[:len(eventEnd)-1]) + lastChunk, decide.Reset, 1},
+		{"[DONE] in a comment", streamHead + chunk(eventA+": [DONE]\n\n") + lastChunk, decide.Reset, 1},
+		{"event without its blank line", streamHead + chunk(eventA+eventA[:len(eventA)-1]) + lastChunk, decide.Reset, 1},
+		{"event behind [DONE]", streamHead + chunk(eventA+eventEnd) + chunk(eventA) + lastChunk, decide.Reset, 2},
+		{"[DONE] twice", streamHead + chunk(eventA+eventEnd+eventEnd) + lastChunk, decide.Reset, 2},
+		{"noise behind [DONE]", streamHead + chunk(eventA+eventEnd+"x") + lastChunk, decide.Reset, 2},
+		{"size 0 before an event", streamHead + chunk(eventA) + "0\r\n" + eventA + "\r\n" + lastChunk, decide.Reset, 1},
+		{"size 0 before a field with CRLF", streamHead + chunk(eventA) + "0\r\ndata: 1\r\n\r\n" + lastChunk, decide.Reset, 1},
 		{"no last chunk", streamHead + chunk(eventA+eventEnd), decide.Reset, 2},
 		{"no event", streamHead + lastChunk, decide.Reset, 0},
 		{"cut off in an event", streamHead + chunk(eventA) + chunk(eventA[:20]), decide.Reset, 1},
@@ -236,6 +247,32 @@
 	}
 }
 
+// Events reach the client as the engine has written them, in each form that server-sent events may have.
+func TestEventsArePassedOnUnchanged(t *testing.T) {
+	for name, event := range map[string]string{
+		"CRLF": "data: {\"a\":1}\r\n\r\n", "no space": "data:{\"a\":1}\n\n", "data in two lines": "data: {\"a\":\ndata: 1}\n\n",
+		"further fields": "event: message\nid: 4\nretry: 10\ndata: 1\n\n", "comment in the event": ": x\ndata: 1\n\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			for _, size := range []int{1, 7, 1000} { // of the chunks
+				answer := streamHead
+				for text := event + event + "id: 5\n\n" + eventEnd; text != ""; text = text[min(size, len(text)):] {
+					answer += chunk(text[:min(size, len(text))])
+				}
+				p := startFakeEngine(t, false, alwaysRespond(answer+lastChunk))
+				got := ""
+				res := newClient(t, nil).Decode(t.Context(), p.addr, request(), func(e string) error {
+					got += e
+					return nil
+				})
+				if res.Outcome != decide.Served || got != event+event+eventEnd {
+					t.Errorf("chunks of %d bytes: outcome %d, %v, %q", size, res.Outcome, res.Err, got)
+				}
+			}
+		})
+	}
+}
+
 // A stream that stalls, or delivers no further event, counts as broken after StreamIdleTimeout, wherever it stops.
 func TestStalledStreamIsReset(t *testing.T) {
 	for name, after := range map[string]string{
--- a/internal/engine/chat/races_test.go
+++ b/internal/engine/chat/races_test.go
@@ -137,7 +137,7 @@
 	}
 	responses := []string{response("200 OK", `{"x0":0.5}`), "HTTP/1.1 204 x\r\n\r\n", response("202 x", `{"cached_tokens":99}`), response("404 x", ""),
 		response("409 x", ""), response("410 x", "", unprocessedHeader), response("500 x", ""), response("503 x", "", unprocessedHeader),
-		streamHead + chunk(eventEnd) + lastChunk}
+		streamHead + chunk(eventB+eventEnd) + lastChunk}
 	for name, call := range calls {
 		for _, resp := range responses {
 			for _, stream := range []bool{false, true} {
@@ -179,7 +179,7 @@
 // ownResponse returns the response to an attempt.
 func ownResponse(stream bool) string {
 	if stream {
-		return streamHead + chunk(eventA) + lastChunk
+		return streamHead + chunk(eventA+eventEnd) + lastChunk
 	}
 	return response("202 x", `{"cached_tokens":7}`)
 }
@@ -191,7 +191,7 @@
 	var res engine.Result
 	if stream {
 		res = c.Decode(t.Context(), addr, request(), func(event string) error {
-			if event != eventA {
+			if event != eventA && event != eventEnd {
 				t.Errorf("the client gets %q", event)
 			}
 			return nil
