Discovery: a whole list without its members field does not empty the list

Found by looking for places that take bytes for complete: a response like {"revision":42,"complete":true} was a list of no engines, and after 0.4 s of it every engine was taken away. It is a failed call now; an empty array is still a list, and changes may lack the field. Lengths, chunks and the JSON value itself were checked before (net/http and Unmarshal); a second value behind the first is a new case that passed already. The case of TestMalformedResponses failed before.

--- a/internal/discovery/watch/members.go
+++ b/internal/discovery/watch/members.go
@@ -62,12 +62,18 @@
 
 // decodeList decodes a list in discovery's format.
 func decodeList(b []byte) (*response, error) {
-	l := &response{Revision: -1}
+	l := &response{Revision: -1, Members: make([]json.RawMessage, 1)} // Unmarshal replaces the member, if there are any
 	if err := json.Unmarshal(b, l); err != nil {
 		return nil, fmt.Errorf("discovery's list: %w", err)
 	}
-	if l.Revision < 0 {
+	lacksMembers := len(l.Members) == 1 && l.Members[0] == nil
+	switch {
+	case l.Revision < 0:
 		return nil, errors.New("discovery's list has no revision")
+	case lacksMembers && l.Complete:
+		return nil, errors.New("discovery's whole list has no members field")
+	case lacksMembers:
+		l.Members = nil // nothing has changed
 	}
 	hash := xxhash.New()
 	for _, member := range l.Members {
--- a/internal/discovery/watch/watch_test.go
+++ b/internal/discovery/watch/watch_test.go
@@ -151,6 +151,8 @@
 	for name, bad := range map[string]string{
 		"no JSON":                   `{"revision":42,`,
 		"no revision":               `{"members":[]}`,
+		"whole, no members":         `{"revision":42,"complete":true}`,
+		"two lists":                 list(42, true, member("s1", "h:1", "up", 0)) + list(42, true),
 		"members are no list":       `{"revision":42,"complete":true,"members":{"s1":{}}}`,
 		"older":                     list(40, false),
 		"older and whole":           list(40, true),
