Engine client: responses whose end is unknown are not taken for complete ones

Found by looking for places that take bytes for complete. A body without a length was cut at 64 KiB and taken for whole; a 204 that announces a body was over at its head, and what followed stood before the next response; a transfer coding in a message of HTTP/1.0, which has none, was believed; a connection with bytes behind a response was kept and looked at only when it was used again, or closed 10 s later. The first and third end the attempt as reset now, and in the other cases the connection is closed at once.

--- a/internal/engine/chat/chat_test.go
+++ b/internal/engine/chat/chat_test.go
@@ -172,6 +172,13 @@
 		{"endless 1xx responses", strings.Repeat("HTTP/1.1 100 Continue\r\n\r\n", 100) + response("202 x", "{}"), decide.Reset, false},
 		{"half a body", "HTTP/1.1 202 x\r\nContent-Length: 500\r\n\r\n{", decide.Reset, false},
 		{"no JSON", response("202 x", "<html>"), decide.Reset, false},
+		{"read, to the end of the connection", "HTTP/1.1 202 x\r\nConnection: close\r\n\r\n" + `{"cached_tokens":4096}`, decide.ReadDone, false},
+		{"half a body, to the end of the connection", "HTTP/1.1 202 x\r\n\r\n" + `{"cached_tokens":40`, decide.Reset, false},
+		{"body without an end", "HTTP/1.1 202 x\r\n\r\n" + `{"cached_tokens":4096}` + strings.Repeat(" ", 2*maxBodySize), decide.Reset, false},
+		{"read, in chunks", "HTTP/1.1 202 x\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk(`{"cached_`) + chunk(`tokens":4096}`) + lastChunk, decide.ReadDone, false},
+		{"chunks without the last one", "HTTP/1.1 202 x\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk(`{"cached_tokens":4096}`), decide.Reset, false},
+		{"chunks, HTTP/1.0", "HTTP/1.0 202 x\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk(`{"cached_tokens":4096}`) + lastChunk, decide.Reset, false},
+		{"body longer than its length", "HTTP/1.1 202 x\r\nContent-Length: 15\r\n\r\n" + `{"cached_tokens":4096}`, decide.Reset, false},
 		{"body too large", "HTTP/1.1 202 x\r\nContent-Length: 3000000000\r\n\r\n{", decide.Reset, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
@@ -347,6 +354,7 @@
 		{"closed by the engine", response("202 x", `{}`), false, 3},
 		{"with Connection: close", response("202 x", `{}`, "Connection: close"), true, 3},
 		{"data after the response", response("202 x", `{}`) + "more", true, 3},
+		{"chunked", "HTTP/1.1 202 x\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk("{}") + lastChunk, true, 1},
 		{"1xx response first", "HTTP/1.1 100 x\r\n\r\n" + response("202 x", `{}`), true, 3},
 		{"no JSON", response("202 x", `<`), true, 1},
 		{"an error", response("500 x", "oh"), true, 1},
@@ -380,6 +388,24 @@
 	}
 }
 
+// A response that announces a body where none may be has an end that nobody knows: its connection is not kept, nor one on which
+// bytes have come behind a response.
+func TestConnectionWithUnknownEndOfResponseIsNotKept(t *testing.T) {
+	for answer, kept := range map[string]int{
+		"HTTP/1.1 204 x\r\n\r\n":                               1,
+		"HTTP/1.1 204 x\r\nContent-Length: 0\r\n\r\n":          1,
+		"HTTP/1.1 204 x\r\nContent-Length: 5\r\n\r\n":          0,
+		"HTTP/1.1 204 x\r\nTransfer-Encoding: chunked\r\n\r\n": 0,
+		"HTTP/1.1 204 x\r\n\r\nmore":                           0,
+	} {
+		p := startFakeEngine(t, true, alwaysRespond(answer))
+		c := newClient(t, nil)
+		if err := c.sendRelease(t.Context(), p.addr, "id1", false, time.Minute); err != nil || c.pool.idle.Len() != kept {
+			t.Errorf("%q: %v, %d connections kept, want %d", answer, err, c.pool.idle.Len(), kept)
+		}
+	}
+}
+
 // After an engine has reset one kept connection, its other kept connections are not reused. A request that must not
 // be sent twice never goes on a kept connection.
 func TestResetOfKeptConnectionDistrustsTheOthers(t *testing.T) {
--- a/internal/engine/chat/exchange.go
+++ b/internal/engine/chat/exchange.go
@@ -190,18 +190,22 @@
 	return nil
 }
 
-// done returns the connection to the pool after a complete response and closes it otherwise. Data that arrives after
-// the response is noticed when the connection is taken from the pool again.
+// done returns the connection to the pool after a complete response and closes it otherwise, or if more data has come
+// than the response. Data that arrives later is noticed when the connection is taken from the pool again.
 func (x *exchange) done() {
 	if x.conn == nil {
 		return
 	}
-	if x.stopWatch() && x.complete && !x.sawInterim && !x.head.WantsClose() {
+	reusable := x.stopWatch() && x.complete && !x.sawInterim && !x.head.WantsClose()
+	switch {
+	case !reusable:
+		x.conn.closeFor(closedNotReusable)
+	case x.conn.br.Buffered() > 0:
+		x.conn.closeFor(closedUnexpected)
+	default:
 		x.conn.reuseDelay = x.reuseDelay
 		x.client.pool.put(x.conn)
-		return
 	}
-	x.conn.closeFor(closedNotReusable)
 }
 
 // body reads the body of a response that is not a stream.
@@ -210,20 +214,17 @@
 	switch {
 	case err != nil:
 		return nil, err
-	case x.status == 204:
-		x.complete = true
+	case x.status == http.StatusNoContent:
+		x.complete = !chunked && length <= 0 // one with a body has an end that nobody knows
 		return nil, nil
 	case length > maxBodySize:
 		return nil, fmt.Errorf("%w: body of %d bytes", http1.ErrTooLarge, length)
 	case chunked:
-		b, err := io.ReadAll(io.LimitReader(http1.NewChunkedReader(x.conn.br, maxChunkSize), maxBodySize+1))
-		if err == nil && len(b) > maxBodySize {
-			err = fmt.Errorf("%w: body", http1.ErrTooLarge)
-		}
+		b, err := readAllWithin(http1.NewChunkedReader(x.conn.br, maxChunkSize))
 		x.complete = err == nil
 		return b, err
 	case length == http1.UnknownLength: // the body ends with the connection
-		return io.ReadAll(io.LimitReader(x.conn.br, maxBodySize))
+		return readAllWithin(x.conn.br)
 	}
 	b := make([]byte, length)
 	_, err = io.ReadFull(x.conn.br, b)
@@ -231,6 +232,15 @@
 	return b, err
 }
 
+// readAllWithin reads a body of unknown length to its end. A body of more than maxBodySize bytes is an error.
+func readAllWithin(r io.Reader) ([]byte, error) {
+	b, err := io.ReadAll(io.LimitReader(r, maxBodySize+1))
+	if err == nil && len(b) > maxBodySize {
+		err = fmt.Errorf("%w: body", http1.ErrTooLarge)
+	}
+	return b, err
+}
+
 // closedByPeer reports whether a read error means that the peer has ended the connection.
 func closedByPeer(err error) bool {
 	return errors.Is(err, syscall.ECONNRESET) || errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF)
--- a/internal/engine/chat/pool.go
+++ b/internal/engine/chat/pool.go
@@ -37,7 +37,7 @@
 	closedBeforeRequest closeReason = "it broke before it delivered a request"
 	closedNotReusable   closeReason = "its response was not complete, or is its last one"
 	closedTooIdle       closeReason = "it was idle for too long"
-	closedUnexpected    closeReason = "data, or its end, came while it was idle"
+	closedUnexpected    closeReason = "data, or its end, came behind a response"
 	closedForRoom       closeReason = "room was needed"
 	closedDistrusted    closeReason = "its engine has left or restarted, or is distrusted"
 	closedAtEnd         closeReason = "all idle connections are closed"
--- a/internal/http1/http1.go
+++ b/internal/http1/http1.go
@@ -220,6 +220,12 @@
 // UnknownLength is the length of a body if the head does not announce one.
 const UnknownLength = -1
 
+// isHTTP10 reports whether a request or a response is one of HTTP/1.0, which has no transfer codings (RFC 9112, section
+// 6.1).
+func (h *Head) isHTTP10() bool {
+	return strings.HasPrefix(h.Line, "HTTP/1.0 ") || strings.HasSuffix(h.Line, " HTTP/1.0")
+}
+
 // Framing returns how a body is framed: in chunks, or as length bytes. A message with both length headers, or with
 // one of them twice, can be read in two ways, and another reader could see a different request in its body (request
 // smuggling, RFC 9112, section 11.2). Framing rejects such a message as malformed, whatever the values are.
@@ -231,10 +237,9 @@
 		return 0, false, malformed("both Content-Length and Transfer-Encoding")
 	case lengths > 1 || codings > 1:
 		return 0, false, malformed("a length is told %d times", lengths+codings)
+	case codings == 1 && (!strings.EqualFold(te, "chunked") || h.isHTTP10()):
+		return 0, false, malformed("Transfer-Encoding %.40q", te)
 	case codings == 1:
-		if !strings.EqualFold(te, "chunked") {
-			return 0, false, malformed("Transfer-Encoding %.40q", te)
-		}
 		return UnknownLength, true, nil
 	case lengths == 0:
 		return UnknownLength, false, nil
--- a/internal/http1/http1_test.go
+++ b/internal/http1/http1_test.go
@@ -75,6 +75,7 @@
 		{"", UnknownLength, false, nil},
 		{"Content-Length: 5\r\n", 5, false, nil},
 		{"Transfer-Encoding: Chunked\r\n", UnknownLength, true, nil},
+		{"Transfer-Encoding:  chunked \r\n", UnknownLength, true, nil},
 		{"Content-Length: 5\r\nTransfer-Encoding: chunked\r\n", 0, false, ErrMalformed},
 		{"Transfer-Encoding: chunked\r\nContent-Length: 0\r\n", 0, false, ErrMalformed},
 		{"Content-Length: 5\r\nContent-Length: 5\r\n", 0, false, ErrMalformed},
@@ -98,6 +99,20 @@
 	}
 }
 
+// HTTP/1.0 has no transfer codings: who sends one there, or who passes it on, may not know where the message ends.
+func TestTransferEncodingInHTTP10(t *testing.T) {
+	for _, line := range []string{"POST / HTTP/1.0", "HTTP/1.0 200 OK"} {
+		h := &Head{Line: line, Fields: []Field{{"Transfer-Encoding", "chunked"}}}
+		if _, _, err := h.Framing(); !errors.Is(err, ErrMalformed) {
+			t.Errorf("%s: %v", line, err)
+		}
+	}
+	h := &Head{Line: "POST /HTTP/1.0 HTTP/1.1", Fields: []Field{{"Transfer-Encoding", "chunked"}}}
+	if _, chunked, err := h.Framing(); err != nil || !chunked {
+		t.Error(chunked, err)
+	}
+}
+
 func TestChunks(t *testing.T) {
 	for _, c := range []struct {
 		name, in, out string
