--- a/cmd/mintdoor/platform_test.go
+++ b/cmd/mintdoor/platform_test.go
@@ -49,16 +49,18 @@
 	segmentSize       = 536
 )
 
+// setSmallBuffers gives a socket the sizes above.
+func setSmallBuffers(raw syscall.RawConn) error {
+	return raw.Control(func(fd uintptr) {
+		syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, receiveBufferSize)
+		syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, syscall.TCP_MAXSEG, segmentSize)
+	})
+}
+
 // start starts the engine.
 func (e *platformEngine) start(t *testing.T) {
 	t.Helper()
-	config := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
-		return raw.Control(func(fd uintptr) {
-			syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, receiveBufferSize)
-			syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, syscall.TCP_MAXSEG, segmentSize)
-
-		})
-	}}
+	config := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error { return setSmallBuffers(raw) }}
 	var err error
 	if e.listener, err = config.Listen(t.Context(), "tcp", "127.0.0.1:0"); err != nil {
 		t.Fatal(err)
@@ -161,6 +163,22 @@
 
 // startPlatformProcess starts a router with the given limits and waits until it is ready to use the engines.
 func startPlatformProcess(t *testing.T, memoryMB, sockets int, engines ...*platformEngine) *platformProcess {
+	t.Helper()
+	return startPlatformProgram(t, os.Args[0], memoryMB, sockets, engines...)
+}
+
+// buildProgram builds the program without the race detector, with which it would need several times the memory.
+func buildProgram(t *testing.T) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "mintdoor")
+	if out, err := exec.Command("go", "build", "-ldflags=-linkmode=external", "-o", path, ".").CombinedOutput(); err != nil {
+		t.Fatalf("%v\n%s", err, out)
+	}
+	return path
+}
+
+// startPlatformProgram is startPlatformProcess with another program.
+func startPlatformProgram(t *testing.T, program string, memoryMB, sockets int, engines ...*platformEngine) *platformProcess {
 	t.Helper()
 	var members []string
 	for _, e := range engines {
@@ -181,7 +199,7 @@
 	}))
 	t.Cleanup(func() { agent.CloseClientConnections(); agent.Close() })
 	p := &platformProcess{done: make(chan struct{})}
-	p.cmd = exec.Command(os.Args[0], "node")
+	p.cmd = exec.Command(program, "node")
 	p.cmd.Env = append(os.Environ(), "MINTDOOR_MAIN=1", "PROXY_CONFIG="+writePlatformConfig(t, agent.Listener.Addr().String(), memoryMB, sockets))
 	log, err := p.cmd.StderrPipe()
 	if err != nil {
