Router: events that wait for slow clients are bounded in bytes, for all clients together

Operators saw processes pass their memory limit while clients read long answers slowly. Each request could hold 64 events of any size; a heap profile of a process at 178 MB had 157 MB in events that waited. They share a tenth of the configured memory now: beyond it one event of each request waits or is written, so that no stream depends on how fast others read, and the rest stays with the engines. Large buffers of a stream are not kept between two events.

--- a/internal/engine/chat/chat.go
+++ b/internal/engine/chat/chat.go
@@ -37,6 +37,7 @@
 	maxBodySize         = 64 << 10 // of a response that is not a stream
 	maxChunkSize        = 64 << 10
 	maxEventSize        = 64 << 10
+	maxKeptBuffer       = 8 << 10                // of a stream's buffer between two events
 	maxInterimResponses = 8                      // 1xx responses before the final one
 	releaseCallTimeout  = 150 * time.Millisecond // of one release call to one engine
 	// hedgeDelay is how long an engine may take to accept a release before another engine is called as well.
--- a/internal/engine/chat/events.go
+++ b/internal/engine/chat/events.go
@@ -38,7 +38,7 @@
 	for {
 		if n := e.eventLength(); n > 0 {
 			event := string(e.buf[:n])
-			e.buf, e.scanned = append(e.buf[:0], e.buf[n:]...), 0
+			e.buf, e.scanned = shift(e.buf, n), 0
 			hasData, err := e.checkEvent(event)
 			if err != nil {
 				return "", err
@@ -61,6 +61,15 @@
 	}
 }
 
+// shift returns b without its first n bytes. It does not keep the memory of a large event while the next one is awaited.
+func shift(b []byte, n int) []byte {
+	rest := b[n:]
+	if cap(b) > maxKeptBuffer && len(rest) <= maxKeptBuffer/2 {
+		return append([]byte(nil), rest...)
+	}
+	return append(b[:0], rest...)
+}
+
 // eventLength returns the length of the first event in buf with the blank line that ends it, or 0 if buf has no whole
 // event. Lines end with LF or CRLF.
 func (e *eventStream) eventLength() int {
--- a/internal/front/chat/answer.go
+++ b/internal/front/chat/answer.go
@@ -110,6 +110,9 @@
 			if _, err := c.Write(buf); err != nil {
 				return false
 			}
+			if cap(buf) > maxKeptBuffer {
+				buf = nil
+			}
 			continue
 		}
 		e := front.EndingError(end)
--- a/internal/front/chat/chat.go
+++ b/internal/front/chat/chat.go
@@ -24,6 +24,7 @@
 	maxTokens      = 1e7
 	readBufferSize = 4096
 	maxReadAhead   = maxHeadSize + MaxBody // read of further requests while one is open
+	maxKeptBuffer  = 8 << 10               // of a stream's write buffer between two events
 	// lingerTimeout and maxLingerBytes limit what is still read, and discarded, after the last answer on a
 	// connection.
 	lingerTimeout  = 500 * time.Millisecond
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -53,6 +53,7 @@
 	streamIdleTimeout = 5*time.Second - 2*time.Duration(decide.MaxPause)
 	idleMarginParts   = 3 // 1/idleMarginParts of the engines' idle timeout is left as a margin
 	streamBuffer      = 64
+	streamMemoryParts = 10 // 1/streamMemoryParts of the memory may be taken by events that wait for their clients
 	// defaultConnIdle is the engines' idle timeout if the settings don't specify it.
 	defaultConnIdle = 3 * time.Second
 	stopTimeout     = 2 * time.Second
@@ -114,6 +115,7 @@
 	n.guard = guard.New(log)
 	n.Router = router.New(router.Config{Name: cfg.Name, Settings: set.Decide, Kinds: set.Kinds, Engines: n.engines,
 		HoldMode: router.PerRequest, Seed: cfg.Seed, Log: log, Guard: n.guard, MaxOpen: b.open, StreamBuffer: streamBuffer,
+		StreamMemory:       int64(cfg.MemoryMB * (1 << 20) / streamMemoryParts),
 		NewDecider:         decider,
 		ClientStallTimeout: clientStallTimeout, StopTimeout: stopTimeout})
 	n.planShutdown = n.Router.ShutDown
--- a/internal/router/actions.go
+++ b/internal/router/actions.go
@@ -232,21 +232,7 @@
 			}
 			begun = true
 		}
-		select {
-		case q.tokens <- text:
-			return nil
-		default:
-		}
-		stall := time.NewTimer(r.cfg.ClientStallTimeout)
-		defer stall.Stop()
-		select {
-		case q.tokens <- text:
-			return nil
-		case <-a.ctx.Done():
-			return context.Cause(a.ctx)
-		case <-stall.C:
-			return errStalled
-		}
+		return q.tokens.add(a.ctx, text, r.cfg.ClientStallTimeout)
 	}
 }
 
--- a/internal/router/request.go
+++ b/internal/router/request.go
@@ -68,7 +68,7 @@
 	job       Job
 	router    *Router
 	arrivedAt time.Time
-	tokens    chan string
+	tokens    *tokenBuffer
 	done      chan struct{} // closed when ending is set
 	ending    Ending
 	abandoned atomic.Bool // Abandon was called
@@ -84,30 +84,29 @@
 // Next returns the text of the next token, or the ending when there are no more tokens. If ctx ends first, the
 // request is abandoned.
 func (q *Request) Next(ctx context.Context) (string, *Ending) {
-	select {
-	case text := <-q.tokens:
-		return text, nil
-	default:
-	}
-	select {
-	case text := <-q.tokens:
-		return text, nil
-	case <-q.done:
-		select { // tokens that were passed on before the end come first
-		case text := <-q.tokens:
+	for {
+		if text, ok := q.tokens.take(); ok {
 			return text, nil
-		default:
-			return "", &q.ending
 		}
-	case <-ctx.Done():
-		q.Abandon()
-		return "", &Ending{Kind: Gone, Reason: "the client has left"}
-	case <-q.router.stopped:
 		select {
+		case <-q.tokens.added:
 		case <-q.done:
+			if text, ok := q.tokens.take(); ok { // tokens that were passed on before the end come first
+				return text, nil
+			}
+			q.tokens.close()
 			return "", &q.ending
-		default: // it arrived while the router stopped, and the loop never saw it
-			return "", &Ending{Kind: Failed, Reason: ErrStopping.Error()}
+		case <-ctx.Done():
+			q.Abandon()
+			return "", &Ending{Kind: Gone, Reason: "the client has left"}
+		case <-q.router.stopped:
+			q.tokens.close()
+			select {
+			case <-q.done:
+				return "", &q.ending
+			default: // it arrived while the router stopped, and the loop never saw it
+				return "", &Ending{Kind: Failed, Reason: ErrStopping.Error()}
+			}
 		}
 	}
 }
@@ -115,6 +114,7 @@
 // Abandon reports that the client has left: no answer is due any more, attempts in flight are cancelled and holds are
 // released. It may be called at any time, even after the ending.
 func (q *Request) Abandon() {
+	q.tokens.close()
 	if q.abandoned.CompareAndSwap(false, true) {
 		select {
 		case <-q.done: // it has its ending
@@ -179,4 +179,4 @@
 )
 
 // HasToken reports whether Next would return a token immediately.
-func (q *Request) HasToken() bool { return len(q.tokens) > 0 }
+func (q *Request) HasToken() bool { return !q.tokens.isEmpty() }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -85,6 +85,7 @@
 
 	MaxOpen            int           // maximum number of requests in the table
 	StreamBuffer       int           // tokens buffered for a client that reads slowly
+	StreamMemory       int64         // bytes of tokens buffered for all clients together; 0: no limit
 	ClientStallTimeout time.Duration // a client that accepts no data for this long is treated as gone
 	// StopTimeout bounds how long Run waits for attempts and releases when it stops.
 	StopTimeout time.Duration
@@ -124,6 +125,8 @@
 	cancelWork context.CancelFunc
 	counts     counters
 
+	tokenMemory tokenMemory
+
 	mu        sync.Mutex
 	openNames map[string]bool // names of open requests that came with a name in their job
 
@@ -188,6 +191,7 @@
 		openNames: map[string]bool{},
 		drain:     make(chan struct{}), table: newTable(), servers: map[decide.ServerID]*server{},
 	}
+	r.tokenMemory.limit = cfg.StreamMemory
 	if r.holds = (leasedHolds{r}); cfg.HoldMode == PerRequest {
 		r.holds = requestHolds{r}
 	}
@@ -234,7 +238,7 @@
 		return nil, ErrDuplicateName
 	}
 	q := &Request{job: *job, router: r, arrivedAt: now,
-		tokens: make(chan string, r.cfg.StreamBuffer), done: make(chan struct{})}
+		tokens: newTokenBuffer(r.cfg.StreamBuffer, &r.tokenMemory), done: make(chan struct{})}
 	if q.ownsGuard = job.Guard == nil; q.ownsGuard {
 		q.job.Guard = r.cfg.Guard.Receive()
 	}
