Front: a client that floods its connection leaves the processor to others

On real processes with a whole core it shows as a delay only: others' answers took up to 218 ms instead of 70 ms beside a flood of probes, unknown paths or requests behind an open one, and no memory grew (peaks of 18 to 20 MB in nine kinds of floods, some under ever new ids, sessions, accounts and prefixes). The reason is that the flooding goroutine never waits, so that the runtime looks for the data of other sockets only every 10 ms.

TestRequestsOnOneConnectionAreSpaced failed before (0.4 ms for 21 requests).

--- a/internal/front/chat/chat.go
+++ b/internal/front/chat/chat.go
@@ -36,7 +36,10 @@
 	refusalWriteTimeout = time.Millisecond
 	// finalAcceptTime is how long connections in the kernel's queue are accepted before the listener closes.
 	finalAcceptTime = 20 * time.Millisecond
-	bytesPerToken   = 4.0 // the protocol assumes four characters per token
+	// minRequestInterval is the shortest time between two requests on a connection. Without it, a client that floods its
+	// connection would keep the processor from looking for the data of others.
+	minRequestInterval = time.Millisecond
+	bytesPerToken      = 4.0 // the protocol assumes four characters per token
 )
 
 // Options configure a Front.
--- a/internal/front/chat/conn.go
+++ b/internal/front/chat/conn.go
@@ -56,10 +56,12 @@
 	defer c.dropReadAhead()
 	defer c.linger()
 	defer c.recoverPanic()
+	var begun time.Time // the last request
 	for first := true; ; first = false {
 		if !first && !c.beginIdle() {
 			return
 		}
+		time.Sleep(minRequestInterval - time.Since(begun))
 		if err := c.awaitRequest(); err != nil {
 			c.endReason = "no request: " + err.Error()
 			if c.complete = false; first {
@@ -75,6 +77,7 @@
 			deadline = latest(c.accepted.Add(f.opts.RequestTimeout), time.Now().Add(f.opts.RequestTimeout/4))
 		}
 		c.SetReadDeadline(deadline)
+		begun = time.Now()
 		c.request = f.opts.Guard.Receive()
 		reusable := c.takeRequest(ctx)
 		c.endReason = c.describeEnd(reusable)
--- a/internal/front/chat/races_test.go
+++ b/internal/front/chat/races_test.go
@@ -475,3 +475,21 @@
 		})
 	}
 }
+
+// A client that floods its connection leaves the processor to others: its requests are answered, but not one right behind the
+// other.
+func TestRequestsOnOneConnectionAreSpaced(t *testing.T) {
+	const requests = 21
+	tf := startFront(t, writeAnswer, nil)
+	c, br := tf.dial()
+	start := time.Now()
+	io.WriteString(c, strings.Repeat("GET /nowhere HTTP/1.1\r\nHost: a\r\n\r\n", requests))
+	for range requests {
+		if resp, _, err := readAnswer(t, br); resp.StatusCode != 404 || err != nil {
+			t.Fatalf("%+v %v", resp, err)
+		}
+	}
+	if took, least := time.Since(start), (requests-1)*minRequestInterval; took < least {
+		t.Errorf("%d requests were answered within %v, want at least %v", requests, took, least)
+	}
+}
