Front: the close of a client is seen behind more data than is kept

Operators saw requests sent to engines after their client had closed a connection with much still unread. The watch over an open request stopped reading at 272 KB, or when the memory for bodies was used up, and the close stood behind the rest. It reads on now: up to 1.1 MB are kept, as before for requests that are sent at once; what follows is discarded, and the connection ends with a 413 behind the requests that were kept. A client that sends over 16 MB behind its open request counts as having left. Without memory the watch tries again instead of ending.

Three new tests cover what is kept, what is discarded and the retry for memory.

--- a/internal/front/chat/answer.go
+++ b/internal/front/chat/answer.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"errors"
-	"os"
 	"strconv"
 	"time"
 
@@ -136,70 +134,3 @@
 		return c.complete && !closeAfter
 	}
 }
-
-// clientWatcher notices when a client leaves while its request is open.
-type clientWatcher struct {
-	done chan struct{}
-	left bool
-}
-
-// watchClient starts a goroutine that reads ahead on the connection and calls onLeave when the client has closed it:
-// the close may come after further data that the client has sent before its answer. Beyond the limits of the
-// read-ahead the close is noticed only when the router writes to the client.
-func (c *conn) watchClient(onLeave func()) *clientWatcher {
-	w := &clientWatcher{done: make(chan struct{})}
-	c.SetReadDeadline(time.Time{})
-	c.front.conns.tasks.Add(1)
-	go func() {
-		defer c.front.conns.tasks.Done()
-		defer close(w.done)
-		for {
-			var err error
-			if n := c.br.Buffered(); n < c.br.Size() {
-				_, err = c.br.Peek(n + 1)
-			} else {
-				err = c.readAhead()
-			}
-			if err != nil {
-				if w.left = !isTimeout(err) && !errors.Is(err, errNoBodyMemory); w.left {
-					onLeave()
-				}
-				return
-			}
-			c.front.conns.readsWhileOpen.Add(1)
-		}
-	}()
-	return w
-}
-
-// readAhead reads data for which br has no room into readAheadData. It fails with errNoBodyMemory if its own limit or
-// the common limit on memory for bodies is reached.
-func (c *conn) readAhead() error {
-	if n := len(c.readAheadData); n == cap(c.readAheadData) {
-		newCap := min(max(2*n, readBufferSize), maxReadAhead)
-		if n >= newCap {
-			return errNoBodyMemory
-		}
-		growth := int64(newCap) - c.readAheadMemory
-		if c.front.bodyMemory.Add(growth) > c.front.opts.MaxBodyMemory {
-			c.front.bodyMemory.Add(-growth)
-			return errNoBodyMemory
-		}
-		c.readAheadMemory = int64(newCap) // dropReadAhead returns it
-		c.readAheadData = append(make([]byte, 0, newCap), c.readAheadData...)
-	}
-	n, err := c.Conn.Read(c.readAheadData[len(c.readAheadData):cap(c.readAheadData)])
-	c.readAheadData = c.readAheadData[:len(c.readAheadData)+n]
-	return err
-}
-
-// isTimeout reports whether an error means that a deadline has passed.
-func isTimeout(err error) bool { return os.IsTimeout(err) }
-
-// stop ends the watch and reports whether the client is still connected.
-func (w *clientWatcher) stop(c *conn) bool {
-	c.SetReadDeadline(pastTime)
-	<-w.done
-	c.SetReadDeadline(time.Time{})
-	return !w.left
-}
--- a/internal/front/chat/chat.go
+++ b/internal/front/chat/chat.go
@@ -23,8 +23,16 @@
 	maxNameLen     = 256
 	maxTokens      = 1e7
 	readBufferSize = 4096
-	maxReadAhead   = maxHeadSize + MaxBody // read of further requests while one is open
-	maxKeptBuffer  = 8 << 10               // of a stream's write buffer between two events
+	maxReadAhead   = 4 * (maxHeadSize + MaxBody) // kept of further requests while one is open
+	// maxDiscard is how much a client may send behind that before it counts as having left. It is read in pieces of
+	// discardBufferSize, one in discardInterval, so that the close behind a full socket is seen within 0.1 s and other clients keep
+	// the processor.
+	maxDiscard        = 16 << 20
+	discardBufferSize = 32 << 10
+	discardInterval   = 200 * time.Microsecond
+	// bodyMemoryRetryInterval is how often a read-ahead without room in the memory for bodies is tried again.
+	bodyMemoryRetryInterval = 50 * time.Millisecond
+	maxKeptBuffer           = 8 << 10 // of a stream's write buffer between two events
 	// lingerTimeout and maxLingerBytes limit what is still read, and discarded, after the last answer on a
 	// connection.
 	lingerTimeout  = 500 * time.Millisecond
--- a/internal/front/chat/client_leave_test.go
+++ b/internal/front/chat/client_leave_test.go
@@ -39,6 +39,7 @@
 		"a request":               {message("b")},
 		"more than the buffer":    {bigMessage("b")},
 		"many requests in pieces": {message("b"), bigMessage("c"), message("d"), "POST"},
+		"more than is kept":       {strings.Repeat(bigMessage("b"), maxReadAhead/len(bigMessage("b"))+2)},
 	} {
 		t.Run(name, func(t *testing.T) {
 			tf := startFront(t, hang, nil)
@@ -137,3 +138,75 @@
 		t.Errorf("%d bytes are counted, %d for this connection", n, c.readAheadMemory)
 	}
 }
+
+// Of requests behind an open one those that are kept are answered. Behind them comes an error, and nothing that was discarded is
+// taken for a request.
+func TestRequestsBehindTheReadAheadAreNotServed(t *testing.T) {
+	gate := make(chan bool)
+	tf := startFront(t, writeAfter(gate), nil)
+	c, br := tf.dial()
+	io.WriteString(c, message("open"))
+	sent := make(chan int)
+	go func() {
+		n := 0
+		for size := 0; size < 2*maxReadAhead; n++ {
+			text := strings.Replace(bigMessage(fmt.Sprintf("b%d", n)), "Class: chat", "Class: chess", 1) // a quick answer
+			text = strings.Replace(text, "POST /v1/chat/completions", "GET /nowhere", 1)
+			size += len(text)
+			io.WriteString(c, text)
+		}
+		sent <- n
+	}()
+	n := <-sent // all of it is read, though the request is open
+	close(gate)
+	answered := 0
+	if resp, _, err := readAnswer(t, br); resp.StatusCode != 200 || err != nil {
+		t.Fatalf("%+v %v", resp, err)
+	}
+	for ; ; answered++ {
+		resp, _, err := readAnswer(t, br)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if resp.StatusCode == 413 {
+			break
+		}
+		if resp.StatusCode != 404 {
+			t.Fatalf("status %d", resp.StatusCode)
+		}
+	}
+	if _, err := br.ReadByte(); err != io.EOF {
+		t.Errorf("after the error: %v, want EOF", err)
+	}
+	if answered == 0 || answered >= n {
+		t.Errorf("%d of %d requests were answered", answered, n)
+	}
+	tf.eventually("memory returned", func() bool { return tf.front.bodyMemory.Load() == 0 })
+}
+
+// A client that goes on sending without end behind its open request counts as having left.
+func TestEndlessDataBehindAnOpenRequest(t *testing.T) {
+	tf := startFront(t, hang, nil)
+	c, _ := tf.dial()
+	io.WriteString(c, message("a"))
+	for data := make([]byte, 1<<16); ; {
+		if _, err := c.Write(data); err != nil {
+			break
+		}
+	}
+	tf.eventually("gone", func() bool { return tf.router.Stats().Gone == 1 && tf.front.OpenConns() == 0 })
+}
+
+// A close behind data for which there was no memory is seen when there is some again.
+func TestClientLeavesWhileBodyMemoryIsUsedUp(t *testing.T) {
+	tf := startFront(t, hang, nil)
+	limit := tf.front.opts.MaxBodyMemory
+	c, _ := tf.dial()
+	io.WriteString(c, message("a"))
+	tf.eventually("taken", func() bool { return tf.router.Stats().Sends == 2 })
+	tf.front.bodyMemory.Add(limit)
+	io.WriteString(c, bigMessage("b"))
+	c.Close()
+	tf.front.bodyMemory.Add(-limit)
+	tf.eventually("gone", func() bool { return tf.router.Stats().Gone == 1 && tf.front.OpenConns() == 0 })
+}
--- a/internal/front/chat/conn.go
+++ b/internal/front/chat/conn.go
@@ -30,6 +30,7 @@
 	br              *bufio.Reader
 	readAheadData   []byte // data read while a request was open for which br had no room
 	readAheadMemory int64  // bytes of the memory for bodies that readAheadData takes
+	overrun         bool   // data behind readAheadData was discarded
 	entry           entry  // guarded by conns.mu
 	complete        bool   // the last answer was written completely
 
@@ -39,7 +40,10 @@
 
 // Read is the source of br. It returns the data that was read ahead first.
 func (c *conn) Read(p []byte) (int, error) {
-	if len(c.readAheadData) == 0 {
+	switch {
+	case len(c.readAheadData) == 0 && c.overrun:
+		return 0, errOverrun
+	case len(c.readAheadData) == 0:
 		return c.Conn.Read(p)
 	}
 	n := copy(p, c.readAheadData)
@@ -114,7 +118,7 @@
 
 // awaitRequest waits until data can be read, without reading it. The type conns says why.
 func (c *conn) awaitRequest() error {
-	if c.br.Buffered() > 0 || len(c.readAheadData) > 0 {
+	if c.br.Buffered() > 0 || len(c.readAheadData) > 0 || c.overrun {
 		return nil
 	}
 	socket, ok := c.Conn.(syscall.Conn)
@@ -174,16 +178,14 @@
 	return b
 }
 
-// dropReadAhead discards the data that was read ahead and returns its memory to the common limit.
-func (c *conn) dropReadAhead() {
-	c.front.bodyMemory.Add(-c.readAheadMemory)
-	c.readAheadData, c.readAheadMemory = nil, 0
-}
-
 // linger ends a connection after a complete answer without resetting it.
 func (c *conn) linger() {
 	if c.complete && c.front.conns.transition(c, stateLingering) {
-		c.front.discard(c.Conn, c.br)
+		var rest io.Reader = c.br
+		if c.overrun {
+			rest = c.Conn
+		}
+		c.front.discard(c.Conn, rest)
 	}
 }
 
