Router: an id whose request may have run is not run again when it comes again

Callers saw an id run twice when it came again after its client had left: a name was free as soon as its request was over. A request that provably had no effect leaves its name free.

--- a/internal/router/loop.go
+++ b/internal/router/loop.go
@@ -267,6 +267,9 @@
 	}
 	a.guard.End(ended, res.Err)
 	a.row.endAttempt(a, res)
+	if !a.prefill && (a.streaming || a.guard.WasSent() && !outcomeCertain(res.Outcome)) {
+		a.row.mayHaveRun = true
+	}
 	if a.prefill && !outcomeCertain(res.Outcome) {
 		r.holds.readUnknown(a.row, a.addr, res.Outcome)
 	}
@@ -383,7 +386,7 @@
 	r.holds.requestDone(row)
 	r.timers.remove(row.deadlineTimer)
 	r.table.remove(row)
-	r.releaseName(row.q.job.Name)
+	r.names.release(row.q.job.Name, row.mayHaveRun)
 	r.counts.open.Add(-1)
 	row.q.closeGuard("over")
 	if r.cfg.Observer != nil {
@@ -426,7 +429,7 @@
 			row.inFlight.cancel(engine.ErrCancelled)
 		}
 		r.holds.requestDone(row)
-		r.releaseName(row.q.job.Name)
+		r.names.release(row.q.job.Name, row.mayHaveRun)
 		r.counts.open.Add(-1)
 		row.q.closeGuard("the router has stopped")
 	}
--- a/internal/router/request.go
+++ b/internal/router/request.go
@@ -175,7 +175,7 @@
 	ErrStopping        = errors.New("the router is stopping")
 	ErrTooManyRequests = errors.New("too many requests are open")
 	ErrDeadlinePassed  = errors.New("the deadline has passed")
-	ErrDuplicateName   = errors.New("a request of this name is open")
+	ErrDuplicateName   = errors.New("a request of this name is open or has run")
 )
 
 // HasToken reports whether Next would return a token immediately.
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -127,8 +127,7 @@
 
 	tokenMemory tokenMemory
 
-	mu        sync.Mutex
-	openNames map[string]bool // names of open requests that came with a name in their job
+	names nameRegistry // of requests that came with a name in their job
 
 	// The fields below belong to the loop.
 	module       Decider
@@ -188,8 +187,7 @@
 	r := &Router{
 		cfg: cfg, log: cfg.Log, start: time.Now(),
 		messages: make(chan message, messageQueueSize), arrivals: make(chan message, arrivalQueueSize), quit: make(chan struct{}), stopped: make(chan struct{}),
-		openNames: map[string]bool{},
-		drain:     make(chan struct{}), table: newTable(), servers: map[decide.ServerID]*server{},
+		drain: make(chan struct{}), table: newTable(), servers: map[decide.ServerID]*server{},
 	}
 	r.tokenMemory.limit = cfg.StreamMemory
 	if r.holds = (leasedHolds{r}); cfg.HoldMode == PerRequest {
@@ -233,7 +231,7 @@
 		r.counts.open.Add(-1)
 		return nil, ErrTooManyRequests
 	}
-	if !r.claimName(job.Name) {
+	if !r.names.claim(job.Name) {
 		r.counts.open.Add(-1)
 		return nil, ErrDuplicateName
 	}
@@ -245,7 +243,7 @@
 	q.startWatchdog()
 	if err := r.enqueue(q); err != nil {
 		q.watchdog.Stop()
-		r.releaseName(job.Name)
+		r.names.release(job.Name, false)
 		r.counts.open.Add(-1)
 		q.rejected(err)
 		return nil, err
@@ -268,29 +266,6 @@
 	}
 }
 
-// claimName reserves a name for a request. It returns false if an open request already has the name. Any number of
-// requests may have the empty name.
-func (r *Router) claimName(name string) bool {
-	if name == "" {
-		return true
-	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.openNames[name] {
-		return false
-	}
-	r.openNames[name] = true
-	return true
-}
-
-func (r *Router) releaseName(name string) {
-	if name != "" {
-		r.mu.Lock()
-		delete(r.openNames, name)
-		r.mu.Unlock()
-	}
-}
-
 // Update passes a discovery update to the router.
 func (r *Router) Update(u discovery.Update) { r.post(message{kind: listUpdated, update: u}) }
 
--- a/internal/router/table.go
+++ b/internal/router/table.go
@@ -21,6 +21,7 @@
 	// unknownRead is the address of the last engine whose read ended with an unknown outcome: that read may have left
 	// an orphaned KV state, or may still do so.
 	unknownRead    string
+	mayHaveRun     bool  // a writer has been sent the request and may have executed it
 	releasePending bool  // PerRequest: a release is due at the end of the request
 	lastErr        error // of the last attempt that failed
 	lastTimedOut   bool  // the last attempt that failed timed out
