Engine client: a sound chunk of up to 256 KiB no longer breaks a stream

The protocol allows bodies of 256 KiB, and an engine may write all events it has in one chunk; from 64 KiB on it was taken for a chunk of wrong size. Its events are read one by one, so it takes no more memory. Found by listing what a sound peer may send; the new case of TestOutcomesOfStreams failed before.

--- a/internal/engine/chat/chat.go
+++ b/internal/engine/chat/chat.go
@@ -35,7 +35,7 @@
 	readBufferSize      = 4096
 	maxHeadSize         = 16 << 10
 	maxBodySize         = 64 << 10 // of a response that is not a stream
-	maxChunkSize        = 64 << 10
+	maxChunkSize        = 256 << 10 // the protocol's limit on a body
 	maxEventSize        = 64 << 10
 	maxKeptBuffer       = 8 << 10                // of a stream's buffer between two events
 	maxInterimResponses = 8                      // 1xx responses before the final one
--- a/internal/engine/chat/chat_test.go
+++ b/internal/engine/chat/chat_test.go
@@ -208,6 +208,7 @@
 		{"served, with a report", streamHead + chunk(eventA+eventEnd) + chunk(loadCommentPrefix+` {"x0":0.25}`+"\n\n") + lastChunk, decide.Served, 2},
 		{"served, report unreadable", streamHead + chunk(eventA+eventEnd) + chunk(loadCommentPrefix+" {x") + lastChunk, decide.Served, 2},
 		{"served, followed by a second response", streamHead + chunk(eventA+eventEnd) + lastChunk + response("200 OK", "x"), decide.Served, 2},
+		{"served, one large chunk", streamHead + chunk(strings.Repeat(eventA, 2000)+eventEnd) + lastChunk, decide.Served, 2001},
 		{"served, comments behind [DONE]", streamHead + chunk(eventA+eventEnd+": x\n\n: y\n") + lastChunk, decide.Served, 2},
 		{"last chunk without [DONE]", streamHead + chunk(eventA) + lastChunk, decide.Reset, 1},
 		{"[DONE] without its blank line", streamHead + chunk(eventA+eventEnd[:len(eventEnd)-1]) + lastChunk, decide.Reset, 1},
