--- a/internal/engine/chat/chat.go
+++ b/internal/engine/chat/chat.go
@@ -34,7 +34,7 @@
 const (
 	readBufferSize      = 4096
 	maxHeadSize         = 16 << 10
-	maxBodySize         = 64 << 10 // of a response that is not a stream
+	maxBodySize         = 64 << 10  // of a response that is not a stream
 	maxChunkSize        = 256 << 10 // the protocol's limit on a body
 	maxEventSize        = 64 << 10
 	maxKeptBuffer       = 8 << 10                // of a stream's buffer between two events
