--- a/internal/soak/client.go
+++ b/internal/soak/client.go
@@ -78,7 +78,12 @@
 		head += "Idempotency-Key: " + r.id + "\r\n"
 	}
 	if random.IntN(4) == 0 { // routers have to accept both ways of framing a body
-		return head + fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(body), body)
+		const form = "Transfer-Encoding: chunked\r\n\r\n%s%s\r\n%s\r\n%s"
+		size := []string{"%x", "%08X", "%x;a=b", "%x ; c=\"d;e\""}[random.IntN(4)]
+		end := []string{"0\r\n\r\n", "000;f\r\n\r\n", "0\r\nX-Sum: 1\r\n\r\n"}[random.IntN(3)]
+		half := len(body) / 2
+		first := fmt.Sprintf(size+"\r\n%s\r\n", half, body[:half])
+		return head + fmt.Sprintf(form, first, fmt.Sprintf(size, len(body)-half), body[half:], end)
 	}
 	return head + fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(body), body)
 }
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -47,6 +47,9 @@
 var engineTiming = standin.Timing{ReadTime: 40 * time.Millisecond, FirstTokenTime: 30 * time.Millisecond,
 	EventInterval: 60 * time.Millisecond, EventsPerStream: 14}
 
+// unusualStreams is the probability that an engine writes a stream in an unusual form.
+const unusualStreams = 0.3
+
 // Run runs a soak and evaluates it. An error means that the soak could not be run; violations by the routers are in
 // the report.
 func Run(ctx context.Context, o Options) (*Report, error) {
@@ -58,7 +61,7 @@
 	}
 	tb, err := NewTestbed(TestbedOptions{Program: o.Program, ConfigDir: o.ConfigDir, LogDir: o.LogDir,
 		Routers: o.Routers, Readers: o.Readers, Writers: o.Writers,
-		Timing: engineTiming, Seed: o.Seed, Log: o.Log})
+		Timing: engineTiming, VaryStreams: unusualStreams, Seed: o.Seed, Log: o.Log})
 	if err != nil {
 		return nil, err
 	}
--- a/internal/soak/testbed.go
+++ b/internal/soak/testbed.go
@@ -31,10 +31,12 @@
 	Readers   int
 	Writers   int
 	Timing    standin.Timing // of every engine
-	Seed      uint64
-	Log       *slog.Logger // nil: nothing is logged
-	classes   []class
-	params    ruleParams
+	// VaryStreams is the probability that an engine writes a stream in an unusual form.
+	VaryStreams float64
+	Seed        uint64
+	Log         *slog.Logger // nil: nothing is logged
+	classes     []class
+	params      ruleParams
 }
 
 // Testbed is a set of routers with their engines, networks and discovery.
@@ -283,7 +285,8 @@
 	}
 	id := fmt.Sprintf("%s%d", prefix, tb.lastEngineNumber)
 	e, err := standin.NewEngine(standin.EngineOptions{ID: id, Writer: writer, Cluster: tb.Cluster, Timing: tb.opts.Timing,
-		MaxInFlight: tb.opts.slots(writer), Seed: tb.opts.Seed + uint64(tb.lastEngineNumber), Listener: tb.listener})
+		MaxInFlight: tb.opts.slots(writer), Seed: tb.opts.Seed + uint64(tb.lastEngineNumber), Listener: tb.listener,
+		VaryStreams: tb.opts.VaryStreams})
 	if err != nil {
 		return m, err
 	}
