--- a/cmd/mintdoor/soak.go
+++ b/cmd/mintdoor/soak.go
@@ -46,7 +46,7 @@
 				defer faults.Close()
 				o.Log = slog.New(slog.NewTextHandler(faults, nil))
 			}
-			o.Progress = cmd.ErrOrStderr()
+			o.Progress, o.CheckMemory = cmd.ErrOrStderr(), true
 			report, err := soak.Run(cmd.Context(), o)
 			if err != nil {
 				return fmt.Errorf("soak: %w", err)
--- a/internal/soak/badclient.go
+++ b/internal/soak/badclient.go
@@ -53,8 +53,13 @@
 		return
 	}
 	defer c.Close()
+	t.sendInvalid(c, r, kind, badRequests[kind])
+}
+
+// sendInvalid sends an invalid request and records what comes back.
+func (t *traffic) sendInvalid(c *conn, r *Router, kind, text string) {
 	b := badClient{kind: kind, router: r.Index, startedAt: time.Now()}
-	io.WriteString(c, badRequests[kind])
+	io.WriteString(c, text)
 	c.SetReadDeadline(b.startedAt.Add(badClientTimeout + answerSlack))
 	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
 	var late net.Error
--- a/internal/soak/check_answers.go
+++ b/internal/soak/check_answers.go
@@ -67,9 +67,9 @@
 		add(ruleContent, "the answer is a stream but there was no attempt at a writer")
 	case last.ConnLost:
 		e.checkStalledStream(rec, last, add)
-	case last.Outcome == standin.Streamed && !eventsStopped(rec):
+	case last.Outcome == standin.Streamed && !eventsStopped(rec, last):
 		add(ruleLost, "cut off although its engine has written it to its end")
-	case last.Outcome == standin.Cancelled && !eventsStopped(rec):
+	case last.Outcome == standin.Cancelled && !eventsStopped(rec, last):
 		add(ruleLost, "cut off while its engine was writing")
 	default:
 		e.checkStalledStream(rec, last, add)
@@ -81,16 +81,24 @@
 	if len(last.Events) == 0 || len(rec.events) == 0 {
 		return
 	}
-	since := rec.events[len(rec.events)-1]
+	since := lastEventAt(rec, last)
 	if limit := brokenStreamTimeout + socketSlack + e.allowance(rec.router, since, rec.endedAt); rec.endedAt.Sub(since) > limit {
 		add(ruleLost, "the client had to wait for %v after the last event", rec.endedAt.Sub(since))
 	}
 }
 
 // eventsStopped reports whether the events of an answer had stopped well before its end.
-func eventsStopped(rec *requestRecord) bool {
+func eventsStopped(rec *requestRecord, last *standin.Attempt) bool {
 	const stopped = brokenStreamTimeout - 500*time.Millisecond
-	return len(rec.events) == 0 || rec.endedAt.Sub(rec.events[len(rec.events)-1]) > stopped
+	return len(rec.events) == 0 || rec.endedAt.Sub(lastEventAt(rec, last)) > stopped
+}
+
+// lastEventAt returns when the last event that a client has received came, or was written if the client reads slowly.
+func lastEventAt(rec *requestRecord, last *standin.Attempt) time.Time {
+	if n := len(rec.events); rec.readsSlowly && n <= len(last.Events) {
+		return last.Events[n-1]
+	}
+	return rec.events[len(rec.events)-1]
 }
 
 // servedByEngine reports whether an engine has written an answer to the request to its end.
@@ -124,7 +132,7 @@
 	streams, delayed := 0, 0
 	for _, rec := range e.requests {
 		a := e.lastWriter(rec)
-		if rec.status != 200 || !rec.leftAt.IsZero() || a == nil {
+		if rec.status != 200 || !rec.leftAt.IsZero() || a == nil || rec.readsSlowly {
 			continue
 		}
 		streams++
--- a/internal/soak/check_processes.go
+++ b/internal/soak/check_processes.go
@@ -20,6 +20,9 @@
 			for _, text := range run.Violations {
 				add(ruleGuard, text)
 			}
+			if e.memoryLimit > 0 && run.PeakMemory > e.memoryLimit {
+				add(ruleMemory, fmt.Sprintf("up to %d MB; the limit is %d MB", run.PeakMemory>>20, e.memoryLimit>>20))
+			}
 			for _, text := range run.Panics {
 				add(ruleProcess, text)
 			}
--- a/internal/soak/client.go
+++ b/internal/soak/client.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -27,6 +28,8 @@
 	streamReadTimeout = 8 * time.Second
 	// resetWait is how long after the end of a connection a reset may follow.
 	resetWait = 100 * time.Millisecond
+	// trailingTimeout is how long a client writes behind its request before it leaves.
+	trailingTimeout = 50 * time.Millisecond
 )
 
 // conn is a client's connection to a router.
@@ -35,6 +38,17 @@
 	br     *bufio.Reader
 	router int
 	uses   int
+
+	readPause time.Duration // after each event
+
+	left   chan struct{} // closed when the client has left
+	leftAt atomic.Pointer[time.Time]
+}
+
+// whenLeft waits until the client has left, and returns when that was.
+func (c *conn) whenLeft() time.Time {
+	<-c.left
+	return *c.leftAt.Load()
 }
 
 // dial connects to a router.
@@ -43,13 +57,14 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{TCPConn: c.(*net.TCPConn), br: bufio.NewReader(c), router: r.Index}, nil
+	return &conn{TCPConn: c.(*net.TCPConn), br: bufio.NewReader(c), router: r.Index, left: make(chan struct{})}, nil
 }
 
 // clientBehaviour is how a client behaves with one request.
 type clientBehaviour struct {
 	pieces       int           // the request is written in this many pieces ...
 	pause        time.Duration // ... with this pause between them
+	readPause    time.Duration // after each event of the answer
 	leaveAfter   time.Duration // the client leaves this long after its last byte; 0: it stays
 	leaveByReset bool          // leaves with a reset
 	halfClose    bool          // leaves by closing only its sending direction
@@ -99,14 +114,15 @@
 		rec.ending, rec.endedAt = endUnread, time.Now()
 		return rec, false
 	}
-	rec.sentAt = time.Now()
+	rec.sentAt, rec.readsSlowly = time.Now(), behaviour.readPause > 0
+	c.readPause = behaviour.readPause
 	if behaviour.leaveAfter > 0 {
 		stop := time.AfterFunc(behaviour.leaveAfter, func() { c.leave(behaviour) })
 		defer stop.Stop()
 	}
 	reuse := c.read(rec)
 	if behaviour.leaveAfter > 0 && time.Since(rec.sentAt) >= behaviour.leaveAfter {
-		if left := rec.sentAt.Add(behaviour.leaveAfter); rec.endedAt.IsZero() || !rec.complete || left.Before(rec.endedAt) {
+		if left := c.whenLeft(); rec.endedAt.IsZero() || !rec.complete || left.Before(rec.endedAt) {
 			rec.leftAt = left
 		}
 		return rec, false
@@ -117,9 +133,11 @@
 // leave ends the connection in the way that the behaviour says.
 func (c *conn) leave(behaviour *clientBehaviour) {
 	if behaviour.trailing != "" {
-		c.SetWriteDeadline(time.Now().Add(time.Millisecond))
+		c.SetWriteDeadline(time.Now().Add(trailingTimeout))
 		io.WriteString(c, behaviour.trailing)
 	}
+	defer close(c.left)
+	defer c.leftAt.Store(new(time.Now()))
 	switch {
 	case behaviour.halfClose:
 		c.CloseWrite()
@@ -198,6 +216,7 @@
 			continue
 		}
 		rec.events = append(rec.events, time.Now())
+		time.Sleep(c.readPause)
 		if data == standin.LastEvent {
 			done = true
 			continue
--- a/internal/soak/evaluate.go
+++ b/internal/soak/evaluate.go
@@ -31,6 +31,7 @@
 	ruleProcess         = "process"
 	ruleGuard           = "guard"
 	ruleEventsLate      = "events held back"
+	ruleMemory          = "memory"
 	ruleUnexpectedCall  = "call that no client made"
 )
 
--- a/internal/soak/evaluate_test.go
+++ b/internal/soak/evaluate_test.go
@@ -54,6 +54,22 @@
 		want   string // the violated rule; "": none
 	}{
 		"sound": {change: func(*evidence, *requestRecord, *standin.Attempt, *standin.Attempt) {}},
+		"cut off after a stall, read slowly": {change: func(_ *evidence, rec *requestRecord, _, write *standin.Attempt) {
+			rec.readsSlowly, rec.complete, rec.ending, rec.endedAt = true, false, endBroken, after(5000)
+			rec.events = []time.Time{after(200), after(1000)}
+			write.Outcome, write.Ended = standin.Cancelled, after(5000)
+		}},
+		"cut off while its events came, read slowly": {change: func(_ *evidence, rec *requestRecord, _, write *standin.Attempt) {
+			rec.readsSlowly, rec.complete, rec.ending, rec.endedAt = true, false, endBroken, after(4000)
+			rec.events = []time.Time{after(200), after(1000)}
+			write.Outcome, write.Ended = standin.Cancelled, after(4000)
+		}, want: ruleLost},
+		"memory over the limit": {change: func(e *evidence, _ *requestRecord, _, _ *standin.Attempt) {
+			e.memoryLimit, e.runs[0][0].PeakMemory = 100, 101
+		}, want: ruleMemory},
+		"memory at the limit": {change: func(e *evidence, _ *requestRecord, _, _ *standin.Attempt) {
+			e.memoryLimit, e.runs[0][0].PeakMemory = 100, 100
+		}},
 		"no answer": {change: func(_ *evidence, rec *requestRecord, _, _ *standin.Attempt) {
 			rec.status, rec.complete, rec.ending, rec.endedAt = 0, false, endTimeout, after(5400)
 		}, want: ruleLost},
--- a/internal/soak/evidence.go
+++ b/internal/soak/evidence.go
@@ -28,6 +28,7 @@
 	soakPauses               []Pause                       // intervals in which the soak itself did not run
 	routerFailures           []string                      // failed starts and stops of routers
 	slack                    time.Duration                 // added to every allowed time, for a slow machine
+	memoryLimit              int64                         // of each process, in bytes; 0: none
 	attempts                 map[string][]*standin.Attempt // by request, in the order of their last bytes
 	requestByID              map[string]*requestRecord
 }
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -93,6 +93,17 @@
 
 // run injects random faults at random intervals until ctx ends, and returns when all of them are over.
 func (in *injector) run(ctx context.Context, interval time.Duration, seed uint64) {
+	var work sync.WaitGroup
+	work.Go(func() { in.inject(ctx, seriesFaults, seriesIntervals*interval, seed+seriesSeed) })
+	in.inject(ctx, faults, interval, seed)
+	work.Wait()
+}
+
+// seriesSeed is the difference between the seeds of the two kinds of faults.
+const seriesSeed = 1 << 32
+
+// inject does what run does with faults of a table.
+func (in *injector) inject(ctx context.Context, table []fault, interval time.Duration, seed uint64) {
 	random := rand.New(rand.NewPCG(seed, 2))
 	var work sync.WaitGroup
 	defer work.Wait()
@@ -104,7 +115,7 @@
 			return
 		case <-pause.C:
 		}
-		f := drawFault(random)
+		f := drawFault(random, table)
 		faultRandom := rand.New(rand.NewPCG(seed, 10_000+n))
 		work.Go(func() {
 			in.count(f.name, 1)
@@ -115,19 +126,19 @@
 	}
 }
 
-// drawFault draws a fault by the weights.
-func drawFault(random *rand.Rand) *fault {
+// drawFault draws a fault of a table by the weights.
+func drawFault(random *rand.Rand, table []fault) *fault {
 	sum := 0
-	for i := range faults {
-		sum += faults[i].weight
+	for i := range table {
+		sum += table[i].weight
 	}
 	at := random.IntN(sum)
-	for i := range faults {
-		if at -= faults[i].weight; at < 0 {
-			return &faults[i]
+	for i := range table {
+		if at -= table[i].weight; at < 0 {
+			return &table[i]
 		}
 	}
-	return &faults[0]
+	return &table[0]
 }
 
 // count adds to the count of a fault.
--- a/internal/soak/faults_processes.go
+++ b/internal/soak/faults_processes.go
@@ -65,6 +65,11 @@
 		return
 	}
 	defer in.releaseRouter(r)
+	in.terminate(r, random)
+}
+
+// terminate does the same to a claimed router.
+func (in *injector) terminate(r *Router, random *rand.Rand) {
 	var background sync.WaitGroup
 	defer background.Wait()
 	killed := make(chan struct{})
--- a/internal/soak/record.go
+++ b/internal/soak/record.go
@@ -29,6 +29,7 @@
 	class        int
 	router       int
 	note         string // what is special about the request
+	readsSlowly  bool   // its events come late to the client by the client's own doing
 	firstOnConn  bool   // the first request of its connection
 	timeLeft     time.Duration
 	startedAt    time.Time // when its first byte was written
--- a/internal/soak/report.go
+++ b/internal/soak/report.go
@@ -15,6 +15,7 @@
 	Length      time.Duration
 	Requests    Counts
 	FaultCounts map[string]int // how often each fault was injected or applied, by name
+	PeakMemory  int64          // the most that any process had, in bytes
 	SoakPaused  time.Duration  // total time in which the soak itself did not run
 	Findings    []Finding
 }
@@ -33,6 +34,9 @@
 	c.Attempts, c.Probes, c.BadClients = len(e.record.Attempts), e.record.Probes, len(e.badClients)
 	for _, runs := range e.runs {
 		c.Processes += len(runs)
+		for i := range runs {
+			r.PeakMemory = max(r.PeakMemory, runs[i].PeakMemory)
+		}
 	}
 	for _, pause := range e.soakPauses {
 		r.SoakPaused += pause.Until.Sub(pause.From)
@@ -83,8 +87,8 @@
 // Print prints the report for a person.
 func (r *Report) Print(out io.Writer) {
 	c := &r.Requests
-	fmt.Fprintf(out, "soak: seed %d, %d routers (%d processes), %v, the soak itself did not run for %v\n", r.Seed,
-		r.Routers, c.Processes, r.Length, r.SoakPaused)
+	fmt.Fprintf(out, "soak: seed %d, %d routers (%d processes), up to %d MB, %v, the soak itself did not run for %v\n", r.Seed,
+		r.Routers, c.Processes, r.PeakMemory>>20, r.Length, r.SoakPaused)
 	fmt.Fprintf(out, "requests: %d sent, %d served, %d refused, %d failed, %d cut off by their engines, %d left by their clients, "+
 		"%d crossed a close, %d without an answer; %d attempts, %d probes, %d bad clients\n",
 		c.Sent, c.Served, c.Refused, c.Failed, c.CutOff, c.ClientLeft, c.CrossedClose, c.Unanswered, c.Attempts, c.Probes, c.BadClients)
--- a/internal/soak/router.go
+++ b/internal/soak/router.go
@@ -35,7 +35,8 @@
 	Killed         time.Time // when SIGKILL was first sent
 	Exited         time.Time
 	ExitCode       int
-	Signaled       bool // it was ended by a signal
+	Signaled       bool  // it was ended by a signal
+	PeakMemory     int64 // in bytes
 	Pauses         []Pause
 	Violations     []string // log lines of violations that the process has found itself
 	Panics         []string
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -27,6 +27,9 @@
 	FaultInterval     time.Duration // mean time between two faults
 	// Slack is added to every time that the invariants allow, for a machine that is too slow for the run.
 	Slack time.Duration
+	// CheckMemory makes the memory limit of the routers' configuration an invariant. A program with the race detector
+	// needs several times the memory.
+	CheckMemory bool
 	// CPUShare is the fraction of a CPU core that each router gets; 0 means a whole core.
 	CPUShare float64
 	Log      *slog.Logger
@@ -82,11 +85,15 @@
 	start := time.Now()
 	trafficCtx, endTraffic := context.WithCancel(ctx)
 	defer endTraffic()
+	if hasCrowd(o.Seed) {
+		in.count("crowd: clients that stay", t.startCrowd(trafficCtx))
+	}
 	var work sync.WaitGroup
 	work.Go(func() { t.run(trafficCtx) })
 	faultCtx, endFaults := context.WithTimeout(ctx, o.Length)
 	defer endFaults()
 	work.Go(func() { printProgress(faultCtx, o.Progress, start, log) })
+	work.Go(func() { tb.watchMemory(trafficCtx) })
 	in.run(faultCtx, o.FaultInterval, o.Seed)
 	endTraffic()
 	work.Wait()
@@ -100,6 +107,9 @@
 	e := &evidence{startedAt: start, routers: o.Routers, classes: tb.opts.classes, params: tb.opts.params, timing: tb.opts.Timing,
 		readerSlots: tb.opts.slots(false), writerSlots: tb.opts.slots(true), requests: log.list, badClients: log.bad,
 		record: tb.Cluster.Record(), coldStarts: tb.coldStarts, routerFailures: in.routerFailures, soakPauses: ownPauses(), slack: o.Slack}
+	if o.CheckMemory {
+		e.memoryLimit = routerMemoryMB << 20
+	}
 	for _, r := range tb.Routers {
 		e.runs = append(e.runs, r.Runs())
 		e.drainsReported = append(e.drainsReported, drainReports(tb.agentsOf(r.Index), tb.Directory.Withdrawals(), tb.disturbancesOf(r)))
--- a/internal/soak/testbed.go
+++ b/internal/soak/testbed.go
@@ -162,6 +162,12 @@
 func routerHost(i int) string { return fmt.Sprintf("127.20.%d.%d", i>>8, i&0xff) }
 func agentHost(i int) string  { return fmt.Sprintf("127.40.%d.%d", i>>8, i&0xff) }
 
+// The limits of a router.
+const (
+	routerMemoryMB = 192
+	routerSockets  = 512
+)
+
 // newRouter makes the configuration of a router, and its first agent.
 func (tb *Testbed) newRouter(i int) (*Router, error) {
 	addr, err := freeAddr(routerHost(i))
@@ -172,10 +178,9 @@
 	if r.agent, err = tb.NewAgent(i); err != nil {
 		return nil, err
 	}
-	const memoryMB, sockets = 192, 512
 	r.config = config{Name: fmt.Sprintf("n%d", i), Listen: addr, Discovery: r.agent.Addr(),
 		Known:    watch.List{Complete: true, Members: []watch.Member{}},
-		Limits:   limits{Cores: 1, MemoryMB: memoryMB, Sockets: sockets},
+		Limits:   limits{Cores: 1, MemoryMB: routerMemoryMB, Sockets: routerSockets},
 		Settings: settingsFor(tb.opts.Routers, i, tb.opts.classes, tb.opts.params)}
 	if tb.opts.LogDir != "" {
 		if r.log, err = os.Create(filepath.Join(tb.opts.LogDir, r.config.Name+".log")); err != nil {
--- a/internal/soak/traffic.go
+++ b/internal/soak/traffic.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -32,6 +33,7 @@
 	maxDialAttempts  = 4 // routers that a client tries to reach
 	maxLeaveDelay    = 1500 * time.Millisecond
 	maxBackoff       = 300 * time.Millisecond
+	maxTrailing      = 50_000 // requests that a client sends before it leaves
 )
 
 // traffic simulates the clients of a run.
@@ -120,6 +122,9 @@
 			b.halfClose = true
 		case 2:
 			b.trailing = "GET /up HTTP/1.1\r\nHost: a\r\n\r\n"
+			if random.IntN(2) == 0 {
+				b.trailing = strings.Repeat(b.trailing, maxTrailing)
+			}
 		}
 	}
 	return b
@@ -238,38 +243,46 @@
 		}
 		return upTo(lateSendWindow)
 	}
+	killedAt := time.Now().Add(killDelay)
 	for _, c := range conns {
-		t.sendLate(c, lateDelay())
+		after := lateDelay()
+		t.spawn(func(random *rand.Rand) { t.useAfter(c, after, killedAt, random) })
 	}
 	for _, c := range idle {
-		t.sendLate(c, upTo(killDelay))
+		after := upTo(killDelay)
+		t.spawn(func(random *rand.Rand) { t.useAfter(c, after, killedAt, random) })
 	}
 	for range lateNewConns {
 		dialAfter, sendAfter := upTo(lateDialWindow), lateDelay()
 		t.spawn(func(random *rand.Rand) {
 			time.Sleep(dialAfter)
 			if c, err := dial(r); err == nil {
-				t.sendAfter(c, sendAfter, random)
+				t.useAfter(c, sendAfter, killedAt, random)
 			}
 		})
 	}
 }
 
-// sendLate sends a request on a connection after a delay, if the connection is still open.
-func (t *traffic) sendLate(c *conn, after time.Duration) {
-	t.spawn(func(random *rand.Rand) { t.sendAfter(c, after, random) })
-}
+// maxUsePause is the longest pause between two requests of a client that uses its connection as long as it is open.
+const maxUsePause = 100 * time.Millisecond
 
-// sendAfter waits, sends a request on a connection and closes it.
-func (t *traffic) sendAfter(c *conn, after time.Duration, random *rand.Rand) {
+// useAfter waits, and then sends one request after the other on a connection, until an instant or until the router closes
+// the connection.
+func (t *traffic) useAfter(c *conn, after time.Duration, until time.Time, random *rand.Rand) {
 	defer c.Close()
 	time.Sleep(after)
-	if !c.isIdleOpen() {
-		return
+	for n := 0; time.Now().Before(until) && c.isIdleOpen(); n++ {
+		behaviour := &clientBehaviour{pieces: 1 + random.IntN(3), pause: time.Duration(random.IntN(60)) * time.Millisecond}
+		rec, reuse := c.exchange(t.drawRequest(random), behaviour, random, t.log)
+		rec.note = "late in a shutdown"
+		if n > 0 {
+			rec.note = "late in a shutdown, on a connection used before"
+		}
+		if !reuse {
+			return
+		}
+		time.Sleep(time.Duration(random.Int64N(int64(maxUsePause))))
 	}
-	behaviour := &clientBehaviour{pieces: 1 + random.IntN(3), pause: time.Duration(random.IntN(60)) * time.Millisecond}
-	rec, _ := c.exchange(t.drawRequest(random), behaviour, random, t.log)
-	rec.note = "late in a shutdown"
 }
 
 // openIdleConns opens connections that send nothing, and closes them after a while. It returns how many could be
