--- a/internal/soak/testbed.go
+++ b/internal/soak/testbed.go
@@ -253,15 +253,16 @@
 	return append([]*standin.Agent(nil), tb.agents[router]...)
 }
 
-// lastReported returns the list that a router's agents have last reported to it, or an empty list.
+// lastReported returns the newest list that a router's agents have reported to it, or an empty list. An agent may have been
+// behind the one before it.
 func (tb *Testbed) lastReported(router int) watch.List {
-	agents := tb.agentsOf(router)
-	for _, a := range slices.Backward(agents) {
-		if list, ok := a.Reported(); ok {
-			return list
+	newest := watch.List{Complete: true, Members: []watch.Member{}}
+	for _, a := range tb.agentsOf(router) {
+		if list, ok := a.Reported(); ok && list.Revision >= newest.Revision {
+			newest = list
 		}
 	}
-	return watch.List{Complete: true, Members: []watch.Member{}}
+	return newest
 }
 
 // AddEngines starts engines of a role and lists them in one change. sinceMS is their start time in the list, in Unix
