--- a/cmd/mintdoor/platform_test.go
+++ b/cmd/mintdoor/platform_test.go
@@ -11,7 +11,6 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -20,6 +19,7 @@
 
 	"mintdoor/internal/http1"
 	"mintdoor/internal/platform"
+	"mintdoor/internal/soak"
 )
 
 // platformEngine is an engine of the platform without a proxy in front of it, for tests of how bytes pass.
@@ -296,17 +296,11 @@
 // peakMemory returns the most memory that the process has had, in bytes.
 func (p *platformProcess) peakMemory(t *testing.T) int64 {
 	t.Helper()
-	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.cmd.Process.Pid))
+	peak, err := soak.PeakMemory(p.cmd.Process.Pid)
 	if err != nil {
 		t.Fatal(err)
 	}
-	_, rest, _ := strings.Cut(string(text), "VmHWM:")
-	number, _, _ := strings.Cut(strings.TrimSpace(rest), " ")
-	kilobytes, err := strconv.ParseInt(number, 10, 64)
-	if err != nil {
-		t.Fatal(err)
-	}
-	return kilobytes << 10
+	return peak
 }
 
 // largeRequest returns a request with a body of the given size.
--- a/internal/http1/chunked.go
+++ b/internal/http1/chunked.go
@@ -123,13 +123,8 @@
 // readStrictLine reads a line that has to end with CRLF. The exception for single line feeds (RFC 9112, section 2.2) is
 // for start lines and header fields only.
 func readStrictLine(br *bufio.Reader) ([]byte, error) {
-	line, err := br.ReadSlice('\n')
-	switch {
-	case errors.Is(err, bufio.ErrBufferFull):
-		return nil, fmt.Errorf("%w: a line has more than %d bytes", ErrTooLarge, br.Size())
-	case errors.Is(err, io.EOF) && len(line) > 0:
-		return nil, io.ErrUnexpectedEOF
-	case err != nil:
+	line, err := readRawLine(br)
+	if err != nil {
 		return nil, err
 	}
 	text, ok := bytes.CutSuffix(line, []byte("\r\n"))
--- a/internal/http1/http1.go
+++ b/internal/http1/http1.go
@@ -6,6 +6,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"errors"
 	"fmt"
 	"io"
@@ -52,23 +53,27 @@
 	return value, n
 }
 
-// readLine reads a line and returns it without its line end. A line has to fit into br's buffer.
-func readLine(br *bufio.Reader) ([]byte, error) {
-	b, err := br.ReadSlice('\n')
+// readRawLine reads a line with its line end. The line has to fit into br's buffer.
+func readRawLine(br *bufio.Reader) ([]byte, error) {
+	line, err := br.ReadSlice('\n')
 	switch {
 	case errors.Is(err, bufio.ErrBufferFull):
 		return nil, fmt.Errorf("%w: a line has more than %d bytes", ErrTooLarge, br.Size())
+	case errors.Is(err, io.EOF) && len(line) > 0:
+		return nil, io.ErrUnexpectedEOF
 	case err != nil:
-		if errors.Is(err, io.EOF) && len(b) > 0 {
-			err = io.ErrUnexpectedEOF
-		}
 		return nil, err
 	}
-	b = b[:len(b)-1]
-	if n := len(b); n > 0 && b[n-1] == '\r' {
-		b = b[:n-1]
+	return line, nil
+}
+
+// readLine reads a line and returns it without its line end, which may be a single line feed.
+func readLine(br *bufio.Reader) ([]byte, error) {
+	line, err := readRawLine(br)
+	if err != nil {
+		return nil, err
 	}
-	return b, nil
+	return bytes.TrimSuffix(line[:len(line)-1], []byte("\r")), nil
 }
 
 // ReadHead reads a head of at most max bytes. It returns io.EOF if the connection ends before the start line.
--- a/internal/soak/memory.go
+++ b/internal/soak/memory.go
@@ -35,13 +35,13 @@
 	if r.run == nil || !r.run.Exited.IsZero() {
 		return
 	}
-	if peak, err := peakMemory(r.cmd.Process.Pid); err == nil {
+	if peak, err := PeakMemory(r.cmd.Process.Pid); err == nil {
 		r.run.PeakMemory = max(r.run.PeakMemory, peak)
 	}
 }
 
-// peakMemory returns the most memory that a process has had, in bytes.
-func peakMemory(pid int) (int64, error) {
+// PeakMemory returns the most memory that a process has had, in bytes.
+func PeakMemory(pid int) (int64, error) {
 	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
 	if err != nil {
 		return 0, err
