Front: the last of the requests that are kept is served, although the data behind them was discarded

Found by reading again: while a kept request is open, the watch meets the end of the kept data and took the error there for the client's leaving, which ended the request. It goes on discarding now.

--- a/internal/front/chat/client_leave_test.go
+++ b/internal/front/chat/client_leave_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 
@@ -210,3 +211,48 @@
 	tf.front.bodyMemory.Add(-limit)
 	tf.eventually("gone", func() bool { return tf.router.Stats().Gone == 1 && tf.front.OpenConns() == 0 })
 }
+
+// A request at the end of the data that is kept is served like any other.
+func TestLastRequestOfTheReadAheadIsServed(t *testing.T) {
+	gate := make(chan bool, 2)
+	tf := startFront(t, writeAfter(gate), nil)
+	c, br := tf.dial()
+	io.WriteString(c, message("open"))
+	tf.eventually("taken", func() bool { return tf.router.Stats().Sends == 2 })
+	last := message("last")
+	kept, fillers := fillReadAhead(maxReadAhead + readBufferSize - len(last))
+	io.WriteString(c, kept+last+strings.Repeat("x", 8*maxReadAhead))
+	gate <- true
+	for i, want := range append([]int{200}, slices.Repeat([]int{404}, fillers)...) {
+		if resp, _, err := readAnswer(t, br); err != nil || resp.StatusCode != want {
+			t.Fatalf("answer %d: %+v, %v; want %d", i, resp, err, want)
+		}
+	}
+	before := tf.front.conns.readsWhileOpen.Load()
+	tf.eventually("the last one is taken", func() bool { return tf.router.Stats().Sends == 4 })
+	tf.eventually("the rest is read", func() bool {
+		return tf.front.conns.readsWhileOpen.Load() > before || tf.router.Stats().Gone > 0
+	})
+	gate <- true
+	for _, want := range []int{200, 413} {
+		if resp, _, err := readAnswer(t, br); err != nil || resp.StatusCode != want {
+			t.Fatalf("%+v, %v; want %d", resp, err, want)
+		}
+	}
+}
+
+// fillReadAhead returns n requests of the given size in all that no engine gets.
+func fillReadAhead(size int) (text string, n int) {
+	const largest = 100_000
+	head := "GET /nowhere HTTP/1.1\r\nHost: a\r\nContent-Length: %07d\r\n\r\n"
+	for ; size > 0; n++ {
+		part := size
+		if size >= 2*largest {
+			part = largest
+		}
+		body := part - len(fmt.Sprintf(head, 0))
+		text += fmt.Sprintf(head, body) + strings.Repeat("x", body)
+		size -= part
+	}
+	return text, n
+}
--- a/internal/front/chat/watcher.go
+++ b/internal/front/chat/watcher.go
@@ -51,7 +51,7 @@
 			if !w.pause(bodyMemoryRetryInterval) {
 				return false
 			}
-		case errors.Is(err, errReadAheadFull):
+		case errors.Is(err, errReadAheadFull), errors.Is(err, errOverrun):
 			return w.discardUntilLeave()
 		default:
 			return !isTimeout(err)
