Soak: two soaks on one machine no longer take each other's addresses

While a router of the one was down, the other took its address, as both draw ports at the same hosts. Each process has ranges of hosts of its own now.

--- a/internal/soak/testbed.go
+++ b/internal/soak/testbed.go
@@ -158,9 +158,21 @@
 	return min(max(slotsPerRouter*o.Routers/n, minSlots), maxSlots)
 }
 
+// The second octets of the routers' and the agents' addresses. Of each there are hostRanges, and a process takes its own by its
+// id: while a router is down, another soak on the same machine must not take its address.
+const (
+	firstRouterRange = 150
+	firstAgentRange  = 200
+	hostRanges       = 50
+)
+
 // routerHost and agentHost return the loopback addresses of a router and of its discovery agents, by its number.
-func routerHost(i int) string { return fmt.Sprintf("127.20.%d.%d", i>>8, i&0xff) }
-func agentHost(i int) string  { return fmt.Sprintf("127.40.%d.%d", i>>8, i&0xff) }
+func routerHost(i int) string { return hostInRange(firstRouterRange, i) }
+func agentHost(i int) string  { return hostInRange(firstAgentRange, i) }
+
+func hostInRange(first, i int) string {
+	return fmt.Sprintf("127.%d.%d.%d", first+os.Getpid()%hostRanges, i>>8, i&0xff)
+}
 
 // The limits of a router.
 const (
