--- a/decide/limits.go
+++ b/decide/limits.go
@@ -15,8 +15,8 @@
 	UnansweredAfter = LateAnswerGrace - MaxPause
 	// ClientLeftGrace is how long after a client has left an attempt of its request may still begin.
 	ClientLeftGrace = 100 * Second / 1000
-	// UsedNameWindow is how long after the end of a request that may have run no other one of its name is accepted.
-	// Clients name each request anew.
+	// UsedNameWindow is how long after the end of a request that may have run no other one of its name is
+	// accepted. Clients name each request anew.
 	UsedNameWindow = 60 * Second
 	// LateAnswerGrace is how long after its deadline a final answer may come. It has no value then.
 	LateAnswerGrace = 500 * Second / 1000
